--- /dev/null
+++ b/include/jasminequay/Flow/decision.h
@@ -0,0 +1,76 @@
+// What is to be done with one packet.
+#pragma once
+
+#include "jasminequay/Packet/dropcause.h"
+#include "jasminequay/Packet/endpoint.h"
+#include "jasminequay/Placement/instanceid.h"
+
+namespace jasminequay
+{
+
+/// The action on a packet.
+enum class Verb : std::uint8_t {
+    Drop,
+    ToTarget, ///< Rewrite the destination and send it to the targets' side.
+    ToCaller, ///< Rewrite the source and send it to the callers' side.
+    ToPeer, ///< Pass it unchanged to another instance.
+    Refuse, ///< Tell the caller that the request did not run.
+    Hold, ///< The engine kept a copy and releases it when its query is answered.
+};
+
+/// A decision about a packet.
+struct Decision {
+    Verb verb = Verb::Drop;
+    DropCause cause = DropCause::None;
+    Endpoint endpoint; ///< The new destination or source.
+    InstanceId peer; ///< Where to pass the packet.
+    bool answersOrigin = false; ///< Whether the peer that passed the packet is to be told the binding.
+
+    static Decision drop(DropCause cause)
+    {
+        Decision decision;
+        decision.cause = cause;
+        return decision;
+    }
+
+    static Decision toTarget(Endpoint target)
+    {
+        Decision decision;
+        decision.verb = Verb::ToTarget;
+        decision.endpoint = target;
+        return decision;
+    }
+
+    static Decision toCaller(Endpoint service)
+    {
+        Decision decision;
+        decision.verb = Verb::ToCaller;
+        decision.endpoint = service;
+        return decision;
+    }
+
+    static Decision toPeer(InstanceId peer)
+    {
+        Decision decision;
+        decision.verb = Verb::ToPeer;
+        decision.peer = peer;
+        return decision;
+    }
+
+    static Decision refuse(DropCause cause)
+    {
+        Decision decision;
+        decision.verb = Verb::Refuse;
+        decision.cause = cause;
+        return decision;
+    }
+
+    static Decision hold()
+    {
+        Decision decision;
+        decision.verb = Verb::Hold;
+        return decision;
+    }
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Flow/flowengine.h
@@ -0,0 +1,237 @@
+// The decisions about packets of one traffic thread. No clock, socket or thread inside: time, packets and
+// messages come in as arguments, and actions go out, so that every fault can be replayed.
+#pragma once
+
+#include "jasminequay/Flow/decision.h"
+#include "jasminequay/Flow/flowrecord.h"
+#include "jasminequay/Flow/flowtable.h"
+#include "jasminequay/Flow/ownershipview.h"
+#include "jasminequay/Flow/peermessage.h"
+#include "jasminequay/Flow/pendingqueries.h"
+#include "jasminequay/Packet/packetview.h"
+#include "jasminequay/Support/tokenbucket.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// The limits of one engine.
+struct EngineLimits {
+    std::size_t flows = 1 << 16;
+    Duration cacheLease
+        = std::chrono::seconds(10); ///< How long a cached binding serves before the owner hears of it.
+    Duration queryTimeout = std::chrono::milliseconds(40);
+    Duration closedLinger = std::chrono::seconds(25); ///< Longer than other instances cache a binding.
+    double queriesPerSecond = 5000;
+    double replicaBytesPerSecond = 1024; ///< For exceptions sent to backups.
+    double handoverBytesPerSecond = 256 * 1024; ///< For bindings handed to a new owner.
+};
+
+/// A packet that was held and may go on, with its decision.
+struct ReleasedPacket {
+    std::vector<std::uint8_t> packet;
+    Decision decision;
+    InstanceId origin;
+};
+
+/// Counters of one engine that operators and measures see.
+struct EngineCounters {
+    std::uint64_t placed = 0;
+    std::uint64_t exceptions = 0; ///< Flows placed at a target that the table does not give.
+    std::uint64_t refused = 0;
+    std::uint64_t relayed = 0; ///< Packets passed to another instance.
+    std::uint64_t learned = 0; ///< Bindings learned from answers of targets.
+    std::uint64_t recovered = 0; ///< Bindings learned from peers by query, replica or handover.
+    std::uint64_t fallbacks = 0; ///< Unknown flows sent where the table points.
+    std::uint64_t queries = 0;
+    std::uint64_t evicted = 0;
+};
+
+/// Decides about the packets of the flows that reach one traffic thread.
+class FlowEngine
+{
+public:
+    FlowEngine(InstanceId self, const EngineLimits &limits, TimePoint start);
+
+    /// Routes by a new snapshot from now on.
+    void adopt(const RoutingSnapshot &snapshot);
+
+    /// Trusts the snapshot until this moment; past it every packet is dropped. A paused instance wakes up
+    /// past it.
+    void extendLease(TimePoint until);
+
+    /// Decides about a packet from the callers' side. `origin` is the peer that passed it on, zero for the
+    /// fabric.
+    Decision onCallerPacket(const PacketView &packet, InstanceId origin, std::uint8_t hops, TimePoint now);
+
+    /// Decides about a packet from the targets' side.
+    Decision onTargetPacket(const PacketView &packet, InstanceId origin, std::uint8_t hops, TimePoint now);
+
+    /// Takes a message of a peer.
+    void onBinding(InstanceId from, const BindingMessage &message, TimePoint now);
+
+    /// Goes through at most `slots` entries: expires, records, replicates and hands over. Called often.
+    void sweep(std::size_t slots, TimePoint now);
+
+    /// Writes out the counters of every flow; called before the instance ends.
+    void flushRecords();
+
+    /// Returns the settings version for which every entry has been checked and shared where it must be.
+    [[nodiscard]] std::uint64_t sweptVersion() const
+    {
+        return m_sweptVersion;
+    }
+
+    /// Returns the number of bindings shared because of the version being swept.
+    [[nodiscard]] std::uint64_t sharedBindings() const
+    {
+        return m_sharedBindings;
+    }
+
+    /// Returns the number of bindings that wait to be handed to their new owner.
+    [[nodiscard]] std::size_t waitingHandovers() const
+    {
+        return m_waitingHandovers;
+    }
+
+    /// Returns the flows held.
+    [[nodiscard]] std::size_t flows() const
+    {
+        return m_table.size();
+    }
+
+    [[nodiscard]] const EngineCounters &counters() const
+    {
+        return m_counters;
+    }
+
+    /// Takes the messages to send.
+    std::vector<OutgoingBinding> takeOutbox()
+    {
+        return std::exchange(m_outbox, {});
+    }
+
+    /// Takes the connection records to write.
+    std::vector<FlowRecord> takeRecords()
+    {
+        return std::exchange(m_records, {});
+    }
+
+    /// Takes the held packets that may go on.
+    std::vector<ReleasedPacket> takeReleased()
+    {
+        return std::exchange(m_released, {});
+    }
+
+private:
+    /// What is known of the flow of a packet.
+    struct FlowContext {
+        const ServiceTable *service = nullptr;
+        FlowName name;
+        FlowKey key;
+        std::uint64_t hash = 0;
+        InstanceId owner;
+    };
+
+    /// The pass of the sweep through the table.
+    struct SweepPass {
+        std::size_t position = 0;
+        TimePoint startedAt;
+        std::uint64_t number = 0;
+        std::uint64_t version = 0; ///< The settings version in force when the pass started.
+        bool isRecheck = false; ///< Whether the snapshot changed since the pass before it.
+        std::size_t handoversLeft = 0;
+    };
+
+    // callerpath.cpp
+    Decision decideAsOwner(
+        const PacketView &packet, const FlowContext &flow, InstanceId origin, TimePoint now);
+    Decision decideUnknown(
+        const PacketView &packet, const FlowContext &flow, InstanceId origin, TimePoint now);
+    Decision place(const PacketView &packet, const FlowContext &flow, TimePoint now);
+    Decision resume(const PacketView &packet, const FlowContext &flow, TimePoint now);
+    [[nodiscard]] Decision refuse(const FlowContext &flow, DropCause cause, TimePoint now) const;
+    Decision recorded(const Decision &decision, const FlowContext &flow);
+    std::optional<Decision> useBinding(
+        FlowEntry &entry, const PacketView &packet, const FlowContext &flow, TimePoint now);
+    Decision relay(const FlowContext &flow, std::uint8_t hops);
+    [[nodiscard]] bool mayHaveBeenPlaced(const FlowContext &flow, TimePoint now) const;
+    [[nodiscard]] bool isVoid(const FlowEntry &entry, const FlowContext &flow) const;
+    bool admitsNewFlow(const ServiceTable &service, TimePoint now);
+    [[nodiscard]] const TargetEntry *selectFor(
+        const FlowContext &flow, TimePoint now, DropCause &cause) const;
+
+    // targetpath.cpp
+    Decision acceptAnswer(FlowEntry &entry, const PacketView &packet, const FlowContext &flow,
+        const TargetPlace &place, TimePoint now);
+    Decision learn(
+        const PacketView &packet, const FlowContext &flow, const TargetPlace &place, TimePoint now);
+
+    // bindings.cpp
+    [[nodiscard]] FlowContext contextOf(const ServiceTable &service, Endpoint caller) const;
+    [[nodiscard]] const ServiceTable *tableOf(ServiceId id) const;
+    [[nodiscard]] Endpoint addressOf(TargetId id) const;
+    FlowEntry *insertEntry(const FlowContext &flow, TargetId target, FlowState state, TimePoint now);
+    bool evictOne(bool mayEvictHalfOpen, TimePoint now);
+    void own(FlowEntry &entry, const FlowContext &flow);
+    void disown(FlowEntry &entry);
+    void rebind(FlowEntry &entry, TargetId target, const FlowContext &flow);
+    void close(FlowEntry &entry, EndCause cause);
+    void forget(FlowEntry &entry, EndCause cause);
+    void noteFlags(FlowEntry &entry, TcpFlags flags, bool isFromCaller);
+    void countPacket(FlowEntry &entry, const PacketView &packet, bool isFromCaller, TimePoint now);
+    void writeRecord(FlowEntry &entry, EndCause cause);
+    void rememberDeparted(const Catalogue &before, const Catalogue &after);
+
+    // transfer.cpp
+    bool startQuery(const PacketView &packet, const FlowContext &flow, InstanceId origin, TimePoint now);
+    void finishQuery(FlowKey key, TimePoint now);
+    void answerQuery(InstanceId from, const FlowContext &flow);
+    void takeBinding(const BindingMessage &message, const FlowContext &flow, TimePoint now);
+    void sendBinding(InstanceId to, BindingKind kind, const FlowEntry &entry, const FlowContext &flow);
+    void broadcastBinding(BindingKind kind, const FlowEntry &entry, const FlowContext &flow);
+    void replicate(FlowEntry &entry, const FlowContext &flow, TimePoint now);
+    void handOver(FlowEntry &entry, const FlowContext &flow, TimePoint now);
+
+    // sweep.cpp
+    void beginPass(TimePoint now);
+    void endPass();
+    void sweepEntry(FlowEntry &entry, TimePoint now);
+    void recheckOwnership(FlowEntry &entry, const FlowContext &flow, TimePoint now);
+    void shareUnrepeatable(const FlowEntry &entry, const FlowContext &flow);
+    [[nodiscard]] std::optional<EndCause> expiryOf(
+        const FlowEntry &entry, const ServiceTable &service, Tick now) const;
+
+    [[nodiscard]] Tick tickAt(TimePoint now) const;
+    [[nodiscard]] static Tick ticks(Duration duration);
+
+    InstanceId m_self;
+    EngineLimits m_limits;
+    TimePoint m_start;
+    TimePoint m_leaseUntil;
+    RoutingSnapshot m_routing;
+    FlowTable m_table;
+    PendingQueries m_queries;
+    TokenBucket m_queryBudget;
+    TokenBucket m_replicaBudget;
+    TokenBucket m_handoverBudget;
+    std::map<ServiceId, TokenBucket> m_newFlowBuckets;
+    EngineCounters m_counters;
+    SweepPass m_pass;
+    std::size_t m_evictionHand = 0;
+    std::uint64_t m_sweptVersion = 0;
+    std::uint64_t m_sharedBindings = 0;
+    std::size_t m_waitingHandovers = 0;
+    bool m_needsRecheck = false;
+    std::map<ServiceId, Catalogue::TablePointer> m_departedServices; ///< For the last records of their flows.
+    std::map<TargetId, Endpoint> m_departedTargets;
+    std::vector<OutgoingBinding> m_outbox;
+    std::vector<FlowRecord> m_records;
+    std::vector<ReleasedPacket> m_released;
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Flow/flowentry.h
@@ -0,0 +1,95 @@
+// One entry of the flow table: forty bytes for the binding of a flow to its target, with its traffic
+// counters.
+#pragma once
+
+#include "jasminequay/Packet/endpoint.h"
+#include "jasminequay/Placement/servicetable.h"
+
+#include <cstdint>
+
+namespace jasminequay
+{
+
+/// The life of a flow as one instance sees it.
+enum class FlowState : std::uint8_t {
+    Empty,
+    Opening, ///< Placed; the target has not answered.
+    Established,
+    Closed, ///< Ended; kept a while for late packets.
+};
+
+/// Facts about an entry.
+enum class FlowMark : std::uint8_t {
+    Owned = 1, ///< This instance owns the flow and counts it at its target.
+    Exceptional = 2, ///< The table does not give this target.
+    Replicated = 4, ///< The backup has been told.
+    Backup = 8, ///< Held for the owner of the flow.
+    CallerClosed = 16,
+    TargetClosed = 32,
+};
+
+/// The key of an entry: the caller and the number of the service.
+struct FlowKey {
+    std::uint64_t packed = 0;
+
+    bool operator==(const FlowKey &) const = default;
+
+    static FlowKey of(Endpoint caller, ServiceId service)
+    {
+        return {(caller.packed() << 16) | service};
+    }
+
+    [[nodiscard]] Endpoint caller() const
+    {
+        return {{static_cast<std::uint32_t>(packed >> 32)}, static_cast<std::uint16_t>(packed >> 16)};
+    }
+
+    [[nodiscard]] ServiceId service() const
+    {
+        return static_cast<ServiceId>(packed);
+    }
+};
+
+/// A moment in ticks of 1/256 s since the engine started.
+using Tick = std::uint32_t;
+
+/// A binding with its counters since the last record.
+struct FlowEntry {
+    FlowKey key;
+    TargetId target = 0;
+    Tick lastSeen = 0;
+    Tick since
+        = 0; ///< For an owner, when the flow was placed; otherwise when the owner last confirmed the binding.
+    FlowState state = FlowState::Empty;
+    std::uint8_t marks = 0;
+    std::uint16_t firstAnswer = 0; ///< Ticks from placing to the first answer; zero if none was seen.
+    std::uint32_t bytesUp = 0;
+    std::uint32_t bytesDown = 0;
+    std::uint32_t packetsUp = 0;
+    std::uint32_t packetsDown = 0;
+
+    [[nodiscard]] bool has(FlowMark mark) const
+    {
+        return (marks & static_cast<std::uint8_t>(mark)) != 0;
+    }
+
+    void set(FlowMark mark)
+    {
+        marks = static_cast<std::uint8_t>(marks | static_cast<std::uint8_t>(mark));
+    }
+
+    void clear(FlowMark mark)
+    {
+        marks = static_cast<std::uint8_t>(marks & ~static_cast<std::uint8_t>(mark));
+    }
+
+    /// Tells whether the entry binds a flow that goes on.
+    [[nodiscard]] bool isLive() const
+    {
+        return state == FlowState::Opening || state == FlowState::Established;
+    }
+};
+
+static_assert(sizeof(FlowEntry) <= 40, "a binding takes at most 40 bytes");
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Flow/ownershipview.h
@@ -0,0 +1,63 @@
+// Which instance owns which flows, as one instance believes at one moment.
+#pragma once
+
+#include "jasminequay/Placement/catalogue.h"
+#include "jasminequay/Placement/instanceid.h"
+
+#include <memory>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// The owners of one service.
+struct ServiceOwners {
+    std::vector<InstanceId> owners;
+    InstanceId next; ///< The instance that joins the owners when one of them dies; zero if there is none.
+    TimePoint since; ///< When this instance last saw the owners change.
+};
+
+/// An immutable view of the owners of all services and of the live instances.
+class OwnershipView
+{
+public:
+    OwnershipView() = default;
+
+    /// Computes the owners among `eligible` instances. `before` gives the moments of services whose owners
+    /// stay the same.
+    OwnershipView(const Catalogue &catalogue, InstanceId self, const std::vector<InstanceId> &eligible,
+        std::vector<InstanceId> reachable, const OwnershipView &before, TimePoint now);
+
+    /// Returns the owner of a flow; zero if no instance may own it.
+    [[nodiscard]] InstanceId ownerOf(ServiceId service, std::uint64_t flowHash) const;
+
+    /// Returns the instance that owns the flow if its owner dies; zero if there is none.
+    [[nodiscard]] InstanceId backupOf(ServiceId service, std::uint64_t flowHash) const;
+
+    /// Returns when this instance last saw the owners of a service change.
+    [[nodiscard]] TimePoint since(ServiceId service) const;
+
+    /// Returns the other instances that answer queries, those that leave included.
+    [[nodiscard]] const std::vector<InstanceId> &peers() const
+    {
+        return m_peers;
+    }
+
+    /// Returns the owners of a service; null if it is unknown.
+    [[nodiscard]] const ServiceOwners *owners(ServiceId service) const
+    {
+        return service < m_services.size() ? &m_services[service] : nullptr;
+    }
+
+private:
+    std::vector<ServiceOwners> m_services;
+    std::vector<InstanceId> m_peers;
+};
+
+/// What the traffic threads route by: replaced whole, never changed.
+struct RoutingSnapshot {
+    std::shared_ptr<const Catalogue> catalogue = std::make_shared<const Catalogue>();
+    std::shared_ptr<const OwnershipView> ownership = std::make_shared<const OwnershipView>();
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Membership/membertable.h
@@ -0,0 +1,160 @@
+// Who is a member of the data centre and who answers: the platform's list and heartbeats together. No clock
+// or socket.
+#pragma once
+
+#include "jasminequay/Membership/digest.h"
+#include "jasminequay/Membership/instancelist.h"
+#include "jasminequay/Placement/instanceid.h"
+#include "jasminequay/Support/timepoint.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// The times of failure detection.
+struct MembershipTiming {
+    Duration heartbeatInterval = std::chrono::milliseconds(250);
+    Duration lease = std::chrono::seconds(2); ///< How long a silent member keeps what it owns.
+    std::size_t fanout = 3; ///< The members that get each heartbeat.
+    std::size_t entriesPerDigest = 24; ///< Bounds a heartbeat's size whatever the size of the data centre.
+};
+
+/// One other member.
+struct Member {
+    std::string name;
+    InstanceId id;
+    Endpoint peerData;
+    Endpoint peerControl;
+    DigestEntry known; ///< The newest that was heard of it.
+    TimePoint advancedAt; ///< When its heartbeat last grew.
+    bool isListed = false;
+    bool isListedLeaving = false;
+    bool hasBeenHeard = false;
+    MemberHealth health = MemberHealth::Alive;
+};
+
+/// A heartbeat with its receiver.
+struct OutgoingDigest {
+    std::string to;
+    Digest digest;
+};
+
+/// The membership as one instance sees it. Failure detection is gossip-style: van Renesse, Minsky and Hayden,
+/// "A Gossip-Style Failure Detection Service", 1998. An instance that was paused past its lease fences itself
+/// until its peers have answered.
+class MemberTable
+{
+public:
+    MemberTable(DigestEntry self, Endpoint peerData, Endpoint peerControl, const MembershipTiming &timing,
+        TimePoint now, std::uint64_t seed);
+
+    /// Takes the platform's list of this data centre; ignores one that is older than the present one.
+    void adoptList(const InstanceList &list, TimePoint now);
+
+    /// Adds a member known from the instance's own settings, for a start while the platform is down.
+    void addSeed(const std::string &name, Endpoint peerData, Endpoint peerControl, TimePoint now);
+
+    /// Beats: advances the own heartbeat, ages the members and returns the heartbeats to send.
+    std::vector<OutgoingDigest> tick(TimePoint now);
+
+    /// Takes a heartbeat of `sender`; returns the reply where one is wanted.
+    std::vector<OutgoingDigest> onDigest(const std::string &sender, const Digest &digest, TimePoint now);
+
+    /// Announces a phase; Ready is put off while the instance is fenced.
+    void setPhase(MemberPhase phase);
+
+    /// Announces the settings version in force.
+    void setSettingsVersion(std::uint64_t version);
+
+    /// Announces whether the platform can be reached.
+    void setPlatformFailing(bool isFailing);
+
+    /// Tells whether this instance must not act on what it believes: it was paused and its peers have not
+    /// answered yet.
+    [[nodiscard]] bool isFenced() const
+    {
+        return m_isFenced;
+    }
+
+    /// Returns until when the traffic threads may trust their snapshot.
+    [[nodiscard]] TimePoint leaseUntil() const;
+
+    /// Returns the instances that may own flows, this one included.
+    [[nodiscard]] std::vector<InstanceId> eligible() const;
+
+    /// Returns the other instances that answer queries, those that join and leave included.
+    [[nodiscard]] std::vector<InstanceId> reachable() const;
+
+    /// Returns the instance that reads the platform for the whole data centre.
+    [[nodiscard]] InstanceId platformWatcher() const;
+
+    /// Returns a number that grows whenever eligible() or reachable() changes.
+    [[nodiscard]] std::uint64_t viewNumber() const
+    {
+        return m_viewNumber;
+    }
+
+    /// Returns when this instance last lost its place: it joined, or woke from a pause.
+    [[nodiscard]] TimePoint rejoinedAt() const
+    {
+        return m_rejoinedAt;
+    }
+
+    /// Returns when a member was last lost that had not announced that it leaves; the start of time if none
+    /// was.
+    [[nodiscard]] TimePoint lastLossAt() const
+    {
+        return m_lastLossAt;
+    }
+
+    /// Returns the highest settings version that a live member announces, and a member that has it.
+    [[nodiscard]] std::pair<std::uint64_t, std::string> newestSettings() const;
+
+    /// Returns the other members, by name.
+    [[nodiscard]] const std::map<std::string, Member> &members() const
+    {
+        return m_members;
+    }
+
+    [[nodiscard]] const DigestEntry &self() const
+    {
+        return m_self;
+    }
+
+private:
+    Member &memberNamed(const std::string &name, TimePoint now);
+    void noteEntry(const DigestEntry &entry, bool isFirstHand, TimePoint now);
+    void ageMembers(TimePoint now);
+    void refreshView();
+    void detectPause(TimePoint now);
+    void endFence(TimePoint now);
+    [[nodiscard]] bool isIsolated(TimePoint now) const;
+    [[nodiscard]] bool answers(const Member &member) const;
+    [[nodiscard]] std::vector<const Member *> contacts() const;
+    Digest makeDigest(bool wantsReply);
+
+    DigestEntry m_self;
+    InstanceId m_selfId;
+    Endpoint m_peerData;
+    Endpoint m_peerControl;
+    MembershipTiming m_timing;
+    std::map<std::string, Member> m_members;
+    std::mt19937_64 m_random;
+    std::uint64_t m_listVersion = 0;
+    std::uint64_t m_viewNumber = 1;
+    std::vector<InstanceId> m_viewEligible;
+    std::vector<InstanceId> m_viewReachable;
+    TimePoint m_tickedAt;
+    TimePoint m_heardAt; ///< When any member's heartbeat last grew.
+    TimePoint m_rejoinedAt;
+    TimePoint m_lastLossAt = TimePoint::min();
+    bool m_isFenced = false;
+    TimePoint m_fencedAt;
+    std::map<std::string, bool> m_awaitedReplies;
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Flow/bindings.cpp
@@ -0,0 +1,222 @@
+// The life of entries: inserting, counting, closing, evicting and recording.
+#include "jasminequay/Flow/flowengine.h"
+
+namespace jasminequay
+{
+
+constexpr std::size_t EvictionProbes = 128;
+constexpr std::uint32_t CounterLimit = 1U << 31;
+
+/// A flow that is still opening is not evicted before this age, so that a flood cannot push out honest
+/// handshakes at once.
+constexpr Duration HalfOpenGrace = std::chrono::seconds(1);
+
+FlowEngine::FlowContext FlowEngine::contextOf(const ServiceTable &service, Endpoint caller) const
+{
+    FlowContext flow;
+    flow.service = &service;
+    flow.name = {caller, service.address, service.protocol};
+    flow.key = FlowKey::of(caller, service.id);
+    flow.hash = flow.name.hash();
+    flow.owner = m_routing.ownership->ownerOf(service.id, flow.hash);
+    return flow;
+}
+
+const ServiceTable *FlowEngine::tableOf(ServiceId id) const
+{
+    if (const ServiceTable *const service = m_routing.catalogue->service(id); service != nullptr) {
+        return service;
+    }
+    const auto departed = m_departedServices.find(id);
+    return departed == m_departedServices.end() ? nullptr : departed->second.get();
+}
+
+Endpoint FlowEngine::addressOf(TargetId id) const
+{
+    if (const TargetPlace place = m_routing.catalogue->target(id); place.target != nullptr) {
+        return place.target->settings.address;
+    }
+    const auto departed = m_departedTargets.find(id);
+    return departed == m_departedTargets.end() ? Endpoint{} : departed->second;
+}
+
+void FlowEngine::rememberDeparted(const Catalogue &before, const Catalogue &after)
+{
+    for (const Catalogue::TablePointer &table : before.tables()) {
+        if (!table || after.service(table->id) == table.get()) {
+            continue;
+        }
+        if (after.service(table->id) == nullptr) {
+            m_departedServices[table->id] = table;
+        }
+        for (const TargetEntry &target : table->targets) {
+            if (after.target(target.id).target == nullptr) {
+                m_departedTargets[target.id] = target.settings.address;
+            }
+        }
+    }
+}
+
+FlowEntry *FlowEngine::insertEntry(const FlowContext &flow, TargetId target, FlowState state, TimePoint now)
+{
+    if (m_table.size() >= m_table.capacity() && !evictOne(state == FlowState::Opening, now)) {
+        return nullptr;
+    }
+    FlowEntry *const entry = m_table.insert(flow.key);
+    if (entry == nullptr) {
+        return nullptr;
+    }
+    entry->target = target;
+    entry->state = state;
+    entry->lastSeen = tickAt(now);
+    entry->since = entry->lastSeen;
+    return entry;
+}
+
+/// Makes room for a flow: first what has ended, then what another instance owns, then handshakes that nobody
+/// finishes. An established flow that this instance owns or backs up is never evicted.
+bool FlowEngine::evictOne(bool mayEvictHalfOpen, TimePoint now)
+{
+    FlowEntry *victim = nullptr;
+    int lowestRank = 3;
+    std::vector<FlowEntry> &slots = m_table.slots();
+    for (std::size_t probe = 0; probe < EvictionProbes && lowestRank > 0; ++probe) {
+        m_evictionHand = (m_evictionHand + 1) % slots.size();
+        FlowEntry &entry = slots[m_evictionHand];
+        if (entry.state == FlowState::Empty || entry.has(FlowMark::Backup)) {
+            continue;
+        }
+        int rank = 3;
+        if (entry.state == FlowState::Closed) {
+            rank = 0;
+        } else if (!entry.has(FlowMark::Owned)) {
+            rank = 1;
+        } else if (mayEvictHalfOpen && entry.state == FlowState::Opening
+            && tickAt(now) - entry.since > ticks(HalfOpenGrace)) {
+            rank = 2;
+        }
+        if (rank < lowestRank) {
+            lowestRank = rank;
+            victim = &entry;
+        }
+    }
+    if (victim == nullptr) {
+        return false;
+    }
+    ++m_counters.evicted;
+    forget(*victim, EndCause::Evicted);
+    return true;
+}
+
+void FlowEngine::own(FlowEntry &entry, const FlowContext &flow)
+{
+    if (entry.has(FlowMark::Owned)) {
+        return;
+    }
+    const TargetEntry *const target = flow.service->target(entry.target);
+    if (target == nullptr) {
+        return;
+    }
+    target->load->begin();
+    entry.set(FlowMark::Owned);
+    entry.clear(FlowMark::Backup);
+    entry.clear(FlowMark::Exceptional);
+    if (flow.service->recoveryChoice(flow.hash) != target) {
+        entry.set(FlowMark::Exceptional);
+    }
+}
+
+void FlowEngine::disown(FlowEntry &entry)
+{
+    if (!entry.has(FlowMark::Owned)) {
+        return;
+    }
+    entry.clear(FlowMark::Owned);
+    // The load of a target that is gone or has moved counts no more.
+    const TargetPlace place = m_routing.catalogue->target(entry.target);
+    if (place.target != nullptr) {
+        place.target->load->end();
+    }
+}
+
+void FlowEngine::rebind(FlowEntry &entry, TargetId target, const FlowContext &flow)
+{
+    writeRecord(entry, EndCause::Interim);
+    disown(entry);
+    entry.target = target;
+    if (flow.owner == m_self) {
+        own(entry, flow);
+    }
+}
+
+void FlowEngine::close(FlowEntry &entry, EndCause cause)
+{
+    if (entry.state == FlowState::Closed) {
+        return;
+    }
+    writeRecord(entry, cause);
+    disown(entry);
+    entry.state = FlowState::Closed;
+    entry.clear(FlowMark::Backup);
+}
+
+void FlowEngine::forget(FlowEntry &entry, EndCause cause)
+{
+    // The end of a closed flow has been recorded; late packets may have been counted since.
+    writeRecord(entry, entry.state == FlowState::Closed ? EndCause::Interim : cause);
+    disown(entry);
+    m_table.erase(&entry);
+}
+
+void FlowEngine::noteFlags(FlowEntry &entry, TcpFlags flags, bool isFromCaller)
+{
+    if (flags.rst) {
+        close(entry, EndCause::Reset);
+        return;
+    }
+    if (!flags.fin) {
+        return;
+    }
+    entry.set(isFromCaller ? FlowMark::CallerClosed : FlowMark::TargetClosed);
+    if (entry.has(FlowMark::CallerClosed) && entry.has(FlowMark::TargetClosed)) {
+        close(entry, EndCause::Finished);
+    }
+}
+
+void FlowEngine::countPacket(FlowEntry &entry, const PacketView &packet, bool isFromCaller, TimePoint now)
+{
+    const auto size = static_cast<std::uint32_t>(packet.bytes.size());
+    std::uint32_t &bytes = isFromCaller ? entry.bytesUp : entry.bytesDown;
+    bytes += size;
+    ++(isFromCaller ? entry.packetsUp : entry.packetsDown);
+    entry.lastSeen = tickAt(now);
+    if (bytes >= CounterLimit) {
+        writeRecord(entry, EndCause::Interim);
+    }
+}
+
+void FlowEngine::writeRecord(FlowEntry &entry, EndCause cause)
+{
+    const bool isOwner = entry.has(FlowMark::Owned);
+    const bool isEnd = isOwner && cause != EndCause::Interim;
+    const ServiceTable *const service = tableOf(entry.key.service());
+    if (service == nullptr || (entry.packetsUp == 0 && entry.packetsDown == 0 && !isEnd)) {
+        return;
+    }
+    FlowRecord record;
+    record.flow = {entry.key.caller(), service->address, service->protocol};
+    record.service = service->name;
+    record.division = service->policy.division;
+    record.target = addressOf(entry.target);
+    const bool isRelease = !isOwner && cause != EndCause::Interim;
+    record.cause = isRelease ? EndCause::Released : cause;
+    record.isOwner = isOwner;
+    record.bytesUp = std::exchange(entry.bytesUp, 0);
+    record.bytesDown = std::exchange(entry.bytesDown, 0);
+    record.packetsUp = std::exchange(entry.packetsUp, 0);
+    record.packetsDown = std::exchange(entry.packetsDown, 0);
+    record.firstAnswer = Duration(std::chrono::seconds(entry.firstAnswer)) / 256;
+    m_records.push_back(std::move(record));
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Flow/callerpath.cpp
@@ -0,0 +1,265 @@
+// Decisions about packets that come from the callers' side.
+#include "jasminequay/Flow/flowengine.h"
+#include "jasminequay/Placement/selection.h"
+
+namespace jasminequay
+{
+
+constexpr std::uint8_t MaximumHops = 2;
+
+/// While the owner is silent about a stale binding, one packet in this time goes through the owner.
+constexpr Duration OwnerRetryInterval = std::chrono::seconds(2);
+
+static bool mayOpenFlow(const PacketView &packet)
+{
+    return packet.protocol == Protocol::Udp || packet.flags.opens();
+}
+
+Decision FlowEngine::onCallerPacket(
+    const PacketView &packet, InstanceId origin, std::uint8_t hops, TimePoint now)
+{
+    if (now > m_leaseUntil) {
+        return Decision::drop(DropCause::Fenced);
+    }
+    // An ICMP error of a caller quotes an answer, whose source is the service.
+    const bool isError = packet.isIcmpError();
+    const Endpoint caller = isError ? packet.destination : packet.source;
+    const Endpoint address = isError ? packet.source : packet.destination;
+    const ServiceTable *const service = m_routing.catalogue->serviceAt(address, packet.protocol);
+    if (service == nullptr) {
+        return Decision::drop(isError ? DropCause::ForeignQuote : DropCause::UnknownService);
+    }
+    if (service->isQuarantined) {
+        return Decision::drop(DropCause::Quarantined);
+    }
+    const FlowContext flow = contextOf(*service, caller);
+    const bool believedOwner = origin != InstanceId{} && origin == flow.owner;
+    if (!isError && (flow.owner == m_self || believedOwner)) {
+        return decideAsOwner(packet, flow, origin, now);
+    }
+    if (FlowEntry *const entry = m_table.find(flow.key); entry != nullptr) {
+        const bool isStale = tickAt(now) - entry->since > ticks(m_limits.cacheLease);
+        const bool needsOwner = !isError && (packet.flags.opens() || packet.flags.closes() || isStale);
+        if (needsOwner && isStale) {
+            entry->since = tickAt(now - m_limits.cacheLease + OwnerRetryInterval);
+        }
+        if (const std::optional<Decision> decision
+            = needsOwner ? std::nullopt : useBinding(*entry, packet, flow, now)) {
+            return *decision;
+        }
+    }
+    if (isError && flow.owner == m_self) {
+        return Decision::drop(DropCause::ForeignQuote);
+    }
+    return relay(flow, hops);
+}
+
+Decision FlowEngine::relay(const FlowContext &flow, std::uint8_t hops)
+{
+    if (flow.owner == InstanceId{}) {
+        return Decision::drop(DropCause::AwaitingBinding);
+    }
+    if (hops >= MaximumHops) {
+        return Decision::drop(DropCause::TooManyHops);
+    }
+    ++m_counters.relayed;
+    return Decision::toPeer(flow.owner);
+}
+
+bool FlowEngine::isVoid(const FlowEntry &entry, const FlowContext &flow) const
+{
+    const TargetPlace place = m_routing.catalogue->target(entry.target);
+    return place.service != flow.service || place.target->isQuarantined;
+}
+
+std::optional<Decision> FlowEngine::useBinding(
+    FlowEntry &entry, const PacketView &packet, const FlowContext &flow, TimePoint now)
+{
+    if (isVoid(entry, flow)) {
+        return std::nullopt;
+    }
+    const Endpoint target = m_routing.catalogue->target(entry.target).target->settings.address;
+    countPacket(entry, packet, true, now);
+    noteFlags(entry, packet.flags, true);
+    return Decision::toTarget(target);
+}
+
+Decision FlowEngine::decideAsOwner(
+    const PacketView &packet, const FlowContext &flow, InstanceId origin, TimePoint now)
+{
+    FlowEntry *entry = m_table.find(flow.key);
+    if (entry != nullptr && isVoid(*entry, flow)) {
+        // A flow that may have reached a target never reaches a second one, unless a repeated request does no
+        // harm.
+        const bool mayMove = mayOpenFlow(packet) && (flow.service->policy.repeatable || !entry->isLive());
+        if (!mayMove) {
+            return Decision::drop(DropCause::NoTarget);
+        }
+        forget(*entry, EndCause::TargetRemoved);
+        entry = nullptr;
+    }
+    if (entry != nullptr && entry->state == FlowState::Closed && packet.flags.opens()) {
+        const TargetId earlier = entry->target;
+        forget(*entry, EndCause::Finished);
+        const Decision decision = recorded(place(packet, flow, now), flow);
+        entry = m_table.find(flow.key);
+        // Other instances may still hold the binding of the flow that used this key before.
+        if (entry != nullptr && entry->target != earlier) {
+            broadcastBinding(BindingKind::Answer, *entry, flow);
+        }
+        return decision;
+    }
+    if (entry == nullptr) {
+        return decideUnknown(packet, flow, origin, now);
+    }
+    if (flow.owner == m_self && entry->isLive()) {
+        own(*entry, flow);
+    }
+    Decision decision = *useBinding(*entry, packet, flow, now);
+    decision.answersOrigin = origin != InstanceId{};
+    return decision;
+}
+
+/// The flow of a first packet may have been placed before, by an owner that is gone or that disagrees.
+bool FlowEngine::mayHaveBeenPlaced(const FlowContext &flow, TimePoint now) const
+{
+    if (flow.owner != m_self) {
+        return true;
+    }
+    const ServicePolicy &policy = flow.service->policy;
+    const Duration window
+        = flow.service->protocol == Protocol::Tcp ? policy.handshakeTimeout : policy.idleTimeout;
+    return now - m_routing.ownership->since(flow.service->id) < window;
+}
+
+Decision FlowEngine::decideUnknown(
+    const PacketView &packet, const FlowContext &flow, InstanceId origin, TimePoint now)
+{
+    if (m_queries.find(flow.key) != nullptr) {
+        return Decision::drop(DropCause::AwaitingBinding);
+    }
+    if (packet.flags.rst) {
+        return Decision::drop(DropCause::NoTarget);
+    }
+    const bool isNew = mayOpenFlow(packet);
+    const bool mustAsk = !isNew || mayHaveBeenPlaced(flow, now);
+    if (mustAsk && !m_routing.ownership->peers().empty()) {
+        return startQuery(packet, flow, origin, now) ? Decision::hold()
+                                                     : Decision::drop(DropCause::AwaitingBinding);
+    }
+    Decision decision = isNew ? place(packet, flow, now) : resume(packet, flow, now);
+    const bool needsQuery = decision.verb == Verb::Refuse && packet.protocol == Protocol::Udp
+        && !m_routing.ownership->peers().empty();
+    if (needsQuery) {
+        // A datagram may carry a whole request, so that "not run" needs the word of every peer.
+        return startQuery(packet, flow, origin, now) ? Decision::hold() : Decision::drop(decision.cause);
+    }
+    decision.answersOrigin = origin != InstanceId{} && decision.verb == Verb::ToTarget;
+    return recorded(decision, flow);
+}
+
+/// Writes the record of a refusal; passes every decision through.
+Decision FlowEngine::recorded(const Decision &decision, const FlowContext &flow)
+{
+    if (decision.verb != Verb::Refuse) {
+        return decision;
+    }
+    ++m_counters.refused;
+    FlowRecord record;
+    record.flow = flow.name;
+    record.service = flow.service->name;
+    record.division = flow.service->policy.division;
+    record.cause = EndCause::Refused;
+    record.isOwner = true;
+    m_records.push_back(std::move(record));
+    return decision;
+}
+
+bool FlowEngine::admitsNewFlow(const ServiceTable &service, TimePoint now)
+{
+    if (service.policy.newFlowLimit == 0) {
+        return true;
+    }
+    const double rate = service.policy.newFlowLimit;
+    return m_newFlowBuckets.try_emplace(service.id, rate, rate, now).first->second.take(1, now);
+}
+
+const TargetEntry *FlowEngine::selectFor(const FlowContext &flow, TimePoint now, DropCause &cause) const
+{
+    cause = DropCause::NoTarget;
+    if (flow.service->policy.repeatable) {
+        return selectTarget(*flow.service, flow.hash, now);
+    }
+    // The target of a flow that may not run twice depends on the settings alone. Where the version before
+    // gives another target and an instance may still place by it, the flow waits.
+    const TargetEntry *const choice = flow.service->settledChoice(flow.hash);
+    if (const ServiceTable *const previous = flow.service->previous.get(); previous != nullptr) {
+        const TargetEntry *const earlier = previous->settledChoice(flow.hash);
+        const bool isSame = choice != nullptr && earlier != nullptr && earlier->id == choice->id;
+        if (!isSame) {
+            cause = DropCause::Quarantined;
+            return nullptr;
+        }
+    }
+    const bool hasRoom = choice != nullptr && choice->load->outstanding() < choice->settings.connectionLimit;
+    return hasRoom ? choice : nullptr;
+}
+
+Decision FlowEngine::place(const PacketView &packet, const FlowContext &flow, TimePoint now)
+{
+    if (!admitsNewFlow(*flow.service, now)) {
+        return refuse(flow, DropCause::ServiceLimit, now);
+    }
+    DropCause cause = DropCause::None;
+    const TargetEntry *const target = selectFor(flow, now, cause);
+    if (target == nullptr) {
+        return cause == DropCause::Quarantined ? Decision::drop(cause) : refuse(flow, cause, now);
+    }
+    FlowEntry *const entry = insertEntry(flow, target->id, FlowState::Opening, now);
+    if (entry == nullptr) {
+        return refuse(flow, DropCause::TableFull, now);
+    }
+    if (flow.owner == m_self) {
+        own(*entry, flow);
+    }
+    ++m_counters.placed;
+    m_counters.exceptions += entry->has(FlowMark::Exceptional) ? 1 : 0;
+    countPacket(*entry, packet, true, now);
+    return Decision::toTarget(target->settings.address);
+}
+
+/// Resumes a running flow whose binding nobody knows at the target that the table gives.
+Decision FlowEngine::resume(const PacketView &packet, const FlowContext &flow, TimePoint now)
+{
+    const TargetEntry *const target = flow.service->recoveryChoice(flow.hash);
+    const bool isCertain = flow.service->policy.repeatable
+        || (flow.service->previous == nullptr && target == flow.service->settledChoice(flow.hash));
+    if (target == nullptr || !isCertain) {
+        return Decision::drop(DropCause::NoTarget);
+    }
+    FlowEntry *const entry = insertEntry(flow, target->id, FlowState::Established, now);
+    if (entry == nullptr) {
+        return Decision::drop(DropCause::TableFull);
+    }
+    if (flow.owner == m_self) {
+        own(*entry, flow);
+    }
+    ++m_counters.fallbacks;
+    countPacket(*entry, packet, true, now);
+    noteFlags(*entry, packet.flags, true);
+    return Decision::toTarget(target->settings.address);
+}
+
+/// Refuses a flow when no packet of it can have reached a target; otherwise stays silent, so that the caller
+/// retries.
+Decision FlowEngine::refuse(const FlowContext &flow, DropCause cause, TimePoint now) const
+{
+    const bool isSilent = mayHaveBeenPlaced(flow, now)
+        || (flow.service->protocol == Protocol::Udp && !flow.service->policy.repeatable);
+    if (isSilent) {
+        return Decision::drop(cause);
+    }
+    return Decision::refuse(cause);
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Flow/targetpath.cpp
@@ -0,0 +1,89 @@
+// Decisions about packets that come from the targets' side.
+#include "jasminequay/Flow/flowengine.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace jasminequay
+{
+
+/// Tells whether a segment changes the life of a flow, so that its owner must see it.
+static bool concernsOwner(const PacketView &packet)
+{
+    return packet.flags.syn || packet.flags.closes();
+}
+
+Decision FlowEngine::onTargetPacket(
+    const PacketView &packet, InstanceId origin, std::uint8_t hops, TimePoint now)
+{
+    if (now > m_leaseUntil) {
+        return Decision::drop(DropCause::Fenced);
+    }
+    // An ICMP error on the way to a target quotes a packet whose destination is the target.
+    const bool isError = packet.isIcmpError();
+    const Endpoint caller = isError ? packet.source : packet.destination;
+    const Endpoint address = isError ? packet.destination : packet.source;
+    const TargetPlace place = m_routing.catalogue->targetAt(address, packet.protocol);
+    if (place.target == nullptr) {
+        return Decision::drop(isError ? DropCause::ForeignQuote : DropCause::UnknownTarget);
+    }
+    if (place.target->isQuarantined || place.service->isQuarantined) {
+        return Decision::drop(DropCause::Quarantined);
+    }
+    if (isError) {
+        return Decision::toCaller(place.service->address);
+    }
+    const FlowContext flow = contextOf(*place.service, caller);
+    const bool isForOwner = concernsOwner(packet) && flow.owner != m_self && flow.owner != InstanceId{}
+        && flow.owner != origin && hops == 0;
+    if (isForOwner) {
+        return relay(flow, hops);
+    }
+    if (FlowEntry *const entry = m_table.find(flow.key); entry != nullptr) {
+        return acceptAnswer(*entry, packet, flow, place, now);
+    }
+    return learn(packet, flow, place, now);
+}
+
+Decision FlowEngine::acceptAnswer(FlowEntry &entry, const PacketView &packet, const FlowContext &flow,
+    const TargetPlace &place, TimePoint now)
+{
+    if (entry.target != place.target->id) {
+        // The answer tells where the flow is, unless the target of this entry has answered before.
+        const bool mayFollow = entry.state == FlowState::Opening || isVoid(entry, flow);
+        if (!mayFollow) {
+            return Decision::drop(DropCause::CrossedAnswer);
+        }
+        rebind(entry, place.target->id, flow);
+    }
+    if (entry.state == FlowState::Opening) {
+        entry.state = FlowState::Established;
+        const Tick waited = tickAt(now) - entry.since + 1;
+        entry.firstAnswer
+            = static_cast<std::uint16_t>(std::min<Tick>(waited, std::numeric_limits<std::uint16_t>::max()));
+    }
+    countPacket(entry, packet, false, now);
+    noteFlags(entry, packet.flags, false);
+    return Decision::toCaller(place.service->address);
+}
+
+/// Learns a binding from an answer: the target that answers holds the flow.
+Decision FlowEngine::learn(
+    const PacketView &packet, const FlowContext &flow, const TargetPlace &place, TimePoint now)
+{
+    const Decision decision = Decision::toCaller(place.service->address);
+    FlowEntry *const entry
+        = packet.flags.rst ? nullptr : insertEntry(flow, place.target->id, FlowState::Established, now);
+    if (entry == nullptr) {
+        return decision;
+    }
+    ++m_counters.learned;
+    if (flow.owner == m_self) {
+        own(*entry, flow);
+    }
+    countPacket(*entry, packet, false, now);
+    noteFlags(*entry, packet.flags, false);
+    return decision;
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Flow/transfer.cpp
@@ -0,0 +1,171 @@
+// Bindings that go between instances: queries, answers, replicas and handovers.
+#include "jasminequay/Flow/flowengine.h"
+#include "jasminequay/Packet/packetparser.h"
+
+namespace jasminequay
+{
+
+/// What one binding takes on the wire, for the budgets.
+constexpr double BindingWireSize = 40;
+
+bool FlowEngine::startQuery(
+    const PacketView &packet, const FlowContext &flow, InstanceId origin, TimePoint now)
+{
+    if (!m_queryBudget.take(1, now)) {
+        return false;
+    }
+    const std::vector<InstanceId> &peers = m_routing.ownership->peers();
+    PendingQuery query;
+    query.key = flow.key;
+    query.deadline = now + m_limits.queryTimeout;
+    query.repliesMissing = static_cast<std::uint32_t>(peers.size());
+    query.origin = origin;
+    query.packet.assign(packet.bytes.begin(), packet.bytes.end());
+    if (!m_queries.add(std::move(query))) {
+        return false;
+    }
+    ++m_counters.queries;
+    for (const InstanceId peer : peers) {
+        m_outbox.push_back({peer, {BindingKind::Query, flow.name, {}, false}});
+    }
+    return true;
+}
+
+void FlowEngine::onBinding(InstanceId from, const BindingMessage &message, TimePoint now)
+{
+    const ServiceTable *const service
+        = m_routing.catalogue->serviceAt(message.flow.service, message.flow.protocol);
+    if (service == nullptr) {
+        return;
+    }
+    const FlowContext flow = contextOf(*service, message.flow.caller);
+    if (message.kind == BindingKind::Query) {
+        answerQuery(from, flow);
+        return;
+    }
+    if (message.kind == BindingKind::NotFound) {
+        PendingQuery *const query = m_queries.find(flow.key);
+        if (query != nullptr && query->repliesMissing > 0 && --query->repliesMissing == 0) {
+            finishQuery(flow.key, now);
+        }
+        return;
+    }
+    takeBinding(message, flow, now);
+    if (m_queries.find(flow.key) != nullptr && m_table.find(flow.key) != nullptr) {
+        finishQuery(flow.key, now);
+    }
+}
+
+void FlowEngine::answerQuery(InstanceId from, const FlowContext &flow)
+{
+    const FlowEntry *const entry = m_table.find(flow.key);
+    if (entry == nullptr || !entry->isLive() || isVoid(*entry, flow)) {
+        m_outbox.push_back({from, {BindingKind::NotFound, flow.name, {}, false}});
+        return;
+    }
+    sendBinding(from, BindingKind::Found, *entry, flow);
+}
+
+void FlowEngine::sendBinding(InstanceId to, BindingKind kind, const FlowEntry &entry, const FlowContext &flow)
+{
+    m_outbox.push_back(
+        {to, {kind, flow.name, addressOf(entry.target), entry.state == FlowState::Established}});
+}
+
+void FlowEngine::broadcastBinding(BindingKind kind, const FlowEntry &entry, const FlowContext &flow)
+{
+    for (const InstanceId peer : m_routing.ownership->peers()) {
+        sendBinding(peer, kind, entry, flow);
+    }
+}
+
+void FlowEngine::takeBinding(const BindingMessage &message, const FlowContext &flow, TimePoint now)
+{
+    const TargetPlace place = m_routing.catalogue->targetAt(message.target, flow.service->protocol);
+    if (place.service != flow.service || place.target->isQuarantined) {
+        return;
+    }
+    FlowEntry *entry = m_table.find(flow.key);
+    if (entry != nullptr && entry->target != place.target->id) {
+        // The owner's word stands over a cached binding; a binding that is owned here or has ended yields to
+        // no other.
+        const bool mayReplace = !entry->has(FlowMark::Owned) && message.kind == BindingKind::Answer;
+        if (!mayReplace && entry->isLive()) {
+            return;
+        }
+        forget(*entry, EndCause::Released);
+        entry = nullptr;
+    }
+    const FlowState state = message.isEstablished ? FlowState::Established : FlowState::Opening;
+    if (entry == nullptr) {
+        entry = insertEntry(flow, place.target->id, state, now);
+        m_counters.recovered += message.kind == BindingKind::Answer || entry == nullptr ? 0 : 1;
+    }
+    if (entry == nullptr) {
+        return;
+    }
+    if (!entry->has(FlowMark::Owned)) {
+        entry->since = tickAt(now);
+    }
+    const bool isLost = entry->state == FlowState::Closed && message.kind == BindingKind::Answer;
+    if (message.isEstablished && (entry->state == FlowState::Opening || isLost)) {
+        entry->state = FlowState::Established;
+    }
+    if (flow.owner == m_self && entry->isLive()) {
+        own(*entry, flow);
+        return;
+    }
+    if (message.kind == BindingKind::Replica || message.kind == BindingKind::Shared) {
+        entry->set(FlowMark::Backup);
+        entry->lastSeen = tickAt(now);
+    }
+}
+
+void FlowEngine::finishQuery(FlowKey key, TimePoint now)
+{
+    PendingQuery query = m_queries.take(key);
+    const ParsedPacket parsed = parsePacket(query.packet);
+    const ServiceTable *const service = m_routing.catalogue->service(key.service());
+    if (parsed.cause != DropCause::None || service == nullptr) {
+        return;
+    }
+    const PacketView &packet = parsed.packet;
+    const FlowContext flow = contextOf(*service, key.caller());
+    Decision decision;
+    if (m_table.find(key) != nullptr) {
+        decision = decideAsOwner(packet, flow, query.origin, now);
+    } else if (!service->policy.repeatable && query.repliesMissing > 0) {
+        // A peer that did not answer may know another target.
+        decision = Decision::drop(DropCause::AwaitingBinding);
+    } else {
+        const bool isNew = packet.protocol == Protocol::Udp || packet.flags.opens();
+        decision = recorded(isNew ? place(packet, flow, now) : resume(packet, flow, now), flow);
+    }
+    decision.answersOrigin = query.origin != InstanceId{} && decision.verb == Verb::ToTarget;
+    m_released.push_back({std::move(query.packet), decision, query.origin});
+}
+
+void FlowEngine::replicate(FlowEntry &entry, const FlowContext &flow, TimePoint now)
+{
+    const InstanceId backup = m_routing.ownership->backupOf(flow.service->id, flow.hash);
+    if (backup == InstanceId{} || backup == m_self || !m_replicaBudget.take(BindingWireSize, now)) {
+        return;
+    }
+    sendBinding(backup, BindingKind::Replica, entry, flow);
+    entry.set(FlowMark::Replicated);
+}
+
+void FlowEngine::handOver(FlowEntry &entry, const FlowContext &flow, TimePoint now)
+{
+    if (flow.owner == InstanceId{} || !m_handoverBudget.take(BindingWireSize, now)) {
+        ++m_pass.handoversLeft;
+        return;
+    }
+    sendBinding(flow.owner, BindingKind::Replica, entry, flow);
+    // The new owner writes the end of the flow; what was counted here so far is written as it is.
+    writeRecord(entry, EndCause::Interim);
+    disown(entry);
+    entry.since = tickAt(now);
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Membership/membertable.cpp
@@ -0,0 +1,355 @@
+#include "jasminequay/Membership/membertable.h"
+
+#include "jasminequay/Placement/instanceorder.h"
+
+#include <algorithm>
+
+namespace jasminequay
+{
+
+/// An instance that hears nobody doubts itself first and keeps its view for this many leases.
+constexpr int IsolationLeases = 3;
+
+/// An instance that woke from a pause waits at most this many leases for its peers' answers.
+constexpr int FenceLeases = 1;
+
+static bool isNewer(const DigestEntry &entry, const DigestEntry &known)
+{
+    if (entry.incarnation != known.incarnation) {
+        return entry.incarnation > known.incarnation;
+    }
+    return entry.heartbeat > known.heartbeat;
+}
+
+MemberTable::MemberTable(DigestEntry self, Endpoint peerData, Endpoint peerControl,
+    const MembershipTiming &timing, TimePoint now, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_selfId(instanceIdOf(m_self.instance))
+    , m_peerData(peerData)
+    , m_peerControl(peerControl)
+    , m_timing(timing)
+    , m_random(seed)
+    , m_tickedAt(now)
+    , m_heardAt(now)
+    , m_rejoinedAt(now)
+{
+}
+
+Member &MemberTable::memberNamed(const std::string &name, TimePoint now)
+{
+    const auto [position, isNew] = m_members.try_emplace(name);
+    Member &member = position->second;
+    if (isNew) {
+        member.name = name;
+        member.id = instanceIdOf(name);
+        member.advancedAt = now;
+    }
+    return member;
+}
+
+void MemberTable::adoptList(const InstanceList &list, TimePoint now)
+{
+    if (list.version <= m_listVersion) {
+        return;
+    }
+    m_listVersion = list.version;
+    for (auto &[name, member] : m_members) {
+        member.isListed = false;
+    }
+    for (const ListedInstance &listed : list.instances) {
+        if (listed.name == m_self.instance) {
+            continue;
+        }
+        Member &member = memberNamed(listed.name, now);
+        member.peerData = listed.peerData;
+        member.peerControl = listed.peerControl;
+        member.isListed = true;
+        member.isListedLeaving = listed.isLeaving;
+    }
+    refreshView();
+}
+
+void MemberTable::addSeed(const std::string &name, Endpoint peerData, Endpoint peerControl, TimePoint now)
+{
+    if (name == m_self.instance) {
+        return;
+    }
+    Member &member = memberNamed(name, now);
+    member.peerData = peerData;
+    member.peerControl = peerControl;
+}
+
+/// A member answers unless it is dead. One that the platform lists but that was never heard of gets the
+/// benefit of a lease.
+bool MemberTable::answers(const Member &member) const
+{
+    return member.hasBeenHeard && member.health != MemberHealth::Dead;
+}
+
+bool MemberTable::isIsolated(TimePoint now) const
+{
+    const Duration silence = now - m_heardAt;
+    return silence > m_timing.lease / 2 && silence < IsolationLeases * m_timing.lease;
+}
+
+void MemberTable::ageMembers(TimePoint now)
+{
+    // Whoever hears nobody is more likely cut off than the last one alive.
+    if (isIsolated(now)) {
+        return;
+    }
+    for (auto &[name, member] : m_members) {
+        const Duration silence = now - member.advancedAt;
+        const MemberHealth before = member.health;
+        if (silence > m_timing.lease) {
+            member.health = MemberHealth::Dead;
+        } else {
+            member.health = silence > m_timing.lease / 2 ? MemberHealth::Suspect : MemberHealth::Alive;
+        }
+        const bool isLoss = member.health == MemberHealth::Dead && before != MemberHealth::Dead
+            && member.hasBeenHeard && member.known.phase != MemberPhase::Leaving;
+        if (isLoss) {
+            m_lastLossAt = now;
+        }
+    }
+    const Duration oblivion = 4 * m_timing.lease;
+    std::erase_if(m_members, [&](const auto &item) {
+        const Member &member = item.second;
+        return member.hasBeenHeard && !member.isListed && now - member.advancedAt > oblivion;
+    });
+}
+
+void MemberTable::detectPause(TimePoint now)
+{
+    const bool wasPaused = now - m_tickedAt > m_timing.lease;
+    m_tickedAt = now;
+    if (!wasPaused) {
+        return;
+    }
+    m_isFenced = true;
+    m_fencedAt = now;
+    m_awaitedReplies.clear();
+    // The silence of the others while this instance slept says nothing about them.
+    m_heardAt = now;
+    for (auto &[name, member] : m_members) {
+        member.advancedAt = now;
+        if (member.hasBeenHeard) {
+            m_awaitedReplies[name] = false;
+        }
+    }
+    if (m_awaitedReplies.empty()) {
+        endFence(now);
+    }
+}
+
+void MemberTable::endFence(TimePoint now)
+{
+    m_isFenced = false;
+    m_rejoinedAt = now;
+    ++m_viewNumber;
+}
+
+std::vector<const Member *> MemberTable::contacts() const
+{
+    std::vector<const Member *> found;
+    for (const auto &[name, member] : m_members) {
+        // A dead member is still told now and then, so that it is found again after a cut.
+        if (member.peerControl.port != 0) {
+            found.push_back(&member);
+        }
+    }
+    return found;
+}
+
+Digest MemberTable::makeDigest(bool wantsReply)
+{
+    Digest digest;
+    digest.peerData = m_peerData;
+    digest.peerControl = m_peerControl;
+    digest.wantsReply = wantsReply;
+    digest.entries.push_back(m_self);
+    std::vector<const Member *> others;
+    for (const auto &[name, member] : m_members) {
+        if (answers(member)) {
+            others.push_back(&member);
+        }
+    }
+    std::shuffle(others.begin(), others.end(), m_random);
+    others.resize(std::min(others.size(), m_timing.entriesPerDigest - 1));
+    for (const Member *const member : others) {
+        digest.entries.push_back(member->known);
+    }
+    return digest;
+}
+
+std::vector<OutgoingDigest> MemberTable::tick(TimePoint now)
+{
+    detectPause(now);
+    if (m_isFenced && now - m_fencedAt > FenceLeases * m_timing.lease) {
+        endFence(now);
+    }
+    ++m_self.heartbeat;
+    ageMembers(now);
+    refreshView();
+
+    std::vector<const Member *> receivers = contacts();
+    const auto isUrgent = [this](const Member *member) {
+        return member->health == MemberHealth::Suspect || m_isFenced;
+    };
+    std::shuffle(receivers.begin(), receivers.end(), m_random);
+    std::stable_partition(receivers.begin(), receivers.end(), isUrgent);
+    std::vector<OutgoingDigest> outgoing;
+    for (const Member *const member : receivers) {
+        if (outgoing.size() >= m_timing.fanout && !isUrgent(member)) {
+            break;
+        }
+        outgoing.push_back({member->name, makeDigest(isUrgent(member) || !member->hasBeenHeard)});
+    }
+    return outgoing;
+}
+
+void MemberTable::noteEntry(const DigestEntry &entry, bool isFirstHand, TimePoint now)
+{
+    if (entry.instance == m_self.instance) {
+        // Another incarnation of this name is still remembered: outlive it.
+        if (isNewer(entry, m_self)) {
+            m_self.incarnation = entry.incarnation + 1;
+        }
+        return;
+    }
+    const bool isUnknown = !m_members.contains(entry.instance);
+    if (isUnknown && !isFirstHand) {
+        return;
+    }
+    Member &member = memberNamed(entry.instance, now);
+    if (member.hasBeenHeard && !isNewer(entry, member.known)) {
+        return;
+    }
+    const bool isRestart = member.hasBeenHeard && entry.incarnation > member.known.incarnation
+        && member.known.phase != MemberPhase::Leaving;
+    if (isRestart) {
+        m_lastLossAt = now;
+    }
+    member.known = entry;
+    member.hasBeenHeard = true;
+    member.advancedAt = now;
+    member.health = MemberHealth::Alive;
+    m_heardAt = now;
+}
+
+std::vector<OutgoingDigest> MemberTable::onDigest(
+    const std::string &sender, const Digest &digest, TimePoint now)
+{
+    if (digest.entries.empty() || digest.entries.front().instance != sender || sender == m_self.instance) {
+        return {};
+    }
+    bool isFirstHand = true;
+    for (const DigestEntry &entry : digest.entries) {
+        noteEntry(entry, isFirstHand, now);
+        isFirstHand = false;
+    }
+    if (const auto found = m_members.find(sender); found != m_members.end()) {
+        found->second.peerData = digest.peerData;
+        found->second.peerControl = digest.peerControl;
+    }
+    if (const auto awaited = m_awaitedReplies.find(sender); m_isFenced && awaited != m_awaitedReplies.end()) {
+        awaited->second = true;
+        const bool haveAllAnswered = std::all_of(
+            m_awaitedReplies.begin(), m_awaitedReplies.end(), [](const auto &item) { return item.second; });
+        if (haveAllAnswered) {
+            endFence(now);
+        }
+    }
+    refreshView();
+    if (!digest.wantsReply) {
+        return {};
+    }
+    return {{sender, makeDigest(false)}};
+}
+
+void MemberTable::setPhase(MemberPhase phase)
+{
+    m_self.phase = phase;
+    refreshView();
+}
+
+void MemberTable::setSettingsVersion(std::uint64_t version)
+{
+    m_self.settingsVersion = version;
+}
+
+void MemberTable::setPlatformFailing(bool isFailing)
+{
+    m_self.isPlatformFailing = isFailing;
+}
+
+TimePoint MemberTable::leaseUntil() const
+{
+    return m_isFenced ? m_fencedAt : m_tickedAt + m_timing.lease;
+}
+
+std::vector<InstanceId> MemberTable::eligible() const
+{
+    std::vector<InstanceId> instances;
+    if (m_self.phase == MemberPhase::Ready) {
+        instances.push_back(m_selfId);
+    }
+    for (const auto &[name, member] : m_members) {
+        if (answers(member) && member.known.phase == MemberPhase::Ready && !member.isListedLeaving) {
+            instances.push_back(member.id);
+        }
+    }
+    return instances;
+}
+
+std::vector<InstanceId> MemberTable::reachable() const
+{
+    std::vector<InstanceId> instances;
+    for (const auto &[name, member] : m_members) {
+        if (answers(member)) {
+            instances.push_back(member.id);
+        }
+    }
+    return instances;
+}
+
+void MemberTable::refreshView()
+{
+    std::vector<InstanceId> nowEligible = eligible();
+    std::vector<InstanceId> nowReachable = reachable();
+    if (nowEligible == m_viewEligible && nowReachable == m_viewReachable) {
+        return;
+    }
+    m_viewEligible = std::move(nowEligible);
+    m_viewReachable = std::move(nowReachable);
+    ++m_viewNumber;
+}
+
+InstanceId MemberTable::platformWatcher() const
+{
+    std::vector<InstanceId> candidates;
+    if (!m_self.isPlatformFailing) {
+        candidates.push_back(m_selfId);
+    }
+    for (const auto &[name, member] : m_members) {
+        if (answers(member) && !member.known.isPlatformFailing
+            && member.known.phase != MemberPhase::Leaving) {
+            candidates.push_back(member.id);
+        }
+    }
+    const std::vector<InstanceId> order = firstInstances("platform-watcher", candidates, 1);
+    return order.empty() ? InstanceId{} : order.front();
+}
+
+std::pair<std::uint64_t, std::string> MemberTable::newestSettings() const
+{
+    std::pair<std::uint64_t, std::string> newest;
+    for (const auto &[name, member] : m_members) {
+        if (answers(member) && member.known.settingsVersion > newest.first) {
+            newest = {member.known.settingsVersion, name};
+        }
+    }
+    return newest;
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Placement/servicetable.cpp
@@ -0,0 +1,49 @@
+#include "jasminequay/Placement/servicetable.h"
+
+#include "jasminequay/Placement/rendezvous.h"
+
+namespace jasminequay
+{
+
+const TargetEntry *ServiceTable::target(TargetId targetId) const
+{
+    for (const TargetEntry &entry : targets) {
+        if (entry.id == targetId) {
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+/// Returns the first of the rendezvous order among the targets that the predicate admits.
+template <typename Predicate>
+static const TargetEntry *firstWhere(const ServiceTable &table, std::uint64_t flowHash, Predicate admits)
+{
+    const TargetEntry *first = nullptr;
+    double highest = -1;
+    for (const TargetEntry &target : table.targets) {
+        if (!admits(target)) {
+            continue;
+        }
+        if (const double score = rendezvousScore(flowHash, target.hash, target.settings.weight);
+            score > highest) {
+            highest = score;
+            first = &target;
+        }
+    }
+    return first;
+}
+
+const TargetEntry *ServiceTable::recoveryChoice(std::uint64_t flowHash) const
+{
+    return firstWhere(*this, flowHash, [](const TargetEntry &target) { return !target.isQuarantined; });
+}
+
+const TargetEntry *ServiceTable::settledChoice(std::uint64_t flowHash) const
+{
+    return firstWhere(*this, flowHash, [](const TargetEntry &target) {
+        return !target.isQuarantined && target.settings.state != TargetState::Draining;
+    });
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Support/logevent.cpp
@@ -0,0 +1,62 @@
+#include "jasminequay/Support/logevent.h"
+
+#include <glog/logging.h>
+
+namespace jasminequay
+{
+
+static bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
+}
+
+std::string quotedValue(std::string_view value)
+{
+    if (!needsQuotes(value)) {
+        return std::string(value);
+    }
+    std::string quoted = "\"";
+    for (const char character : value) {
+        if (character == '\n') {
+            quoted += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            quoted += '\\';
+        }
+        quoted += character;
+    }
+    return quoted + '"';
+}
+
+LogEvent::LogEvent(Severity severity, std::string_view event)
+    : m_severity(severity)
+    , m_line("event=" + quotedValue(event))
+{
+}
+
+LogEvent::~LogEvent()
+{
+    switch (m_severity) {
+    case Severity::Info:
+        LOG(INFO) << m_line;
+        break;
+    case Severity::Warning:
+        LOG(WARNING) << m_line;
+        break;
+    case Severity::Error:
+        LOG(ERROR) << m_line;
+        break;
+    }
+}
+
+LogEvent &LogEvent::with(std::string_view key, std::string_view value)
+{
+    m_line += ' ';
+    m_line += key;
+    m_line += '=';
+    m_line += quotedValue(value);
+    return *this;
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/tools/jasminequay/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
