--- a/include/jasminequay/Flow/peermessage.h
+++ b/include/jasminequay/Flow/peermessage.h
@@ -30,7 +30,7 @@
 
 /// A message with its receiver.
 struct OutgoingBinding {
-    InstanceId to;
+    InstanceId to; ///< Zero for a shared binding, which goes to everyone.
     BindingMessage message;
 };
 
--- a/include/jasminequay/Membership/confirmations.h
+++ b/include/jasminequay/Membership/confirmations.h
@@ -34,9 +34,10 @@
     /// Returns how many of the members have confirmed a version, for operators.
     [[nodiscard]] std::size_t confirmedBy(const MemberTable &members, std::uint64_t version) const;
 
-private:
+    /// Tells whether a member has confirmed a version.
     [[nodiscard]] bool hasConfirmed(const Member &member, std::uint64_t version) const;
 
+private:
     std::map<std::string, Confirmation> m_confirmations;
 };
 
--- a/include/jasminequay/Membership/membertable.h
+++ b/include/jasminequay/Membership/membertable.h
@@ -64,6 +64,9 @@
     /// Takes a heartbeat of `sender`; returns the reply where one is wanted.
     std::vector<OutgoingDigest> onDigest(const std::string &sender, const Digest &digest, TimePoint now);
 
+    /// Returns a heartbeat for one member, out of turn.
+    std::vector<OutgoingDigest> digestFor(const std::string &name);
+
     /// Announces a phase; Ready is put off while the instance is fenced.
     void setPhase(MemberPhase phase);
 
--- /dev/null
+++ b/include/jasminequay/Node/metricspage.h
@@ -0,0 +1,24 @@
+// The metrics of an instance in the Prometheus text format.
+#pragma once
+
+#include "jasminequay/Control/instancecontrol.h"
+#include "jasminequay/Node/workerstats.h"
+#include "jasminequay/Peer/peerlink.h"
+
+#include <string>
+
+namespace jasminequay
+{
+
+/// What is known besides the traffic counters.
+struct ControlCounters {
+    PeerLinkCounters peers;
+    std::uint64_t platformCalls = 0;
+    std::uint64_t platformFailures = 0;
+    std::uint64_t records = 0;
+};
+
+/// Prints all metrics; docs/operations.md names each.
+std::string metricsPage(const InstanceControl &control, const TrafficCounters &traffic, const ControlCounters &counters);
+
+} // namespace jasminequay
--- a/include/jasminequay/Peer/controlmessage.h
+++ b/include/jasminequay/Peer/controlmessage.h
@@ -5,6 +5,7 @@
 #include "jasminequay/Membership/confirmations.h"
 #include "jasminequay/Membership/digest.h"
 #include "jasminequay/Membership/instancelist.h"
+#include "jasminequay/Placement/heldback.h"
 #include "jasminequay/Support/failure.h"
 
 #include <string>
@@ -23,6 +24,7 @@
 struct SettingsReply {
     std::uint64_t version = 0;
     std::string text;
+    HeldBack held; ///< What the sender holds back of this version.
 };
 
 /// Bindings for a backup, a new owner or, with the version they are shared for, for everyone.
--- a/include/jasminequay/Placement/cataloguebuilder.h
+++ b/include/jasminequay/Placement/cataloguebuilder.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminequay/Placement/catalogue.h"
+#include "jasminequay/Placement/heldback.h"
 
 #include <map>
 #include <memory>
@@ -22,6 +23,9 @@
     /// Applies a version. Returns the new catalogue; the present one where the version does not grow.
     std::shared_ptr<const Catalogue> apply(const Configuration &configuration, TimePoint now);
 
+    /// Applies the first version of a joining instance, holding back what its peers hold back.
+    std::shared_ptr<const Catalogue> applyFirst(const Configuration &configuration, const HeldBack &held, TimePoint now);
+
     /// Releases what the present version holds back. Returns the new catalogue.
     std::shared_ptr<const Catalogue> settle();
 
@@ -34,6 +38,9 @@
     /// Tells whether the present version holds anything back.
     [[nodiscard]] bool holdsBack() const;
 
+    /// Returns what the present version holds back.
+    [[nodiscard]] HeldBack heldBack() const;
+
 private:
     using EndpointKey = std::pair<Endpoint, Protocol>;
 
--- a/include/jasminequay/Settings/instancesettings.h
+++ b/include/jasminequay/Settings/instancesettings.h
@@ -17,6 +17,8 @@
 struct PeerKey {
     std::string instance;
     std::string publicKey; ///< CURVE, 40 characters of Z85.
+    Endpoint peerData; ///< Where it is, for a start while the platform is down; port zero if not given.
+    Endpoint peerControl;
 };
 
 /// The settings file of `jasminequay serve`.
--- a/include/jasminequay/Settings/servicepolicy.h
+++ b/include/jasminequay/Settings/servicepolicy.h
@@ -47,9 +47,10 @@
     ObjectiveWhole,
     ObjectiveRefused,
     ObjectiveFirstPacket,
+    ReportPort,
 };
 
-constexpr std::size_t PolicyKeyCount = 17;
+constexpr std::size_t PolicyKeyCount = 18;
 
 /// The place that a setting in force was taken from.
 struct Origin {
@@ -76,6 +77,7 @@
     double objectiveWhole = 99.9; ///< Per cent of flows that end with a whole answer.
     double objectiveRefused = 1.0; ///< Per cent of flows that may be refused.
     Duration objectiveFirstPacket = std::chrono::seconds(1);
+    std::uint32_t reportPort = 0; ///< Where a target reports its load over HTTP; zero means that it does not.
     std::array<Origin, PolicyKeyCount> origins{};
 
     /// Returns the origin of one setting.
--- /dev/null
+++ b/lib/Control/instancecontrol.cpp
@@ -0,0 +1,324 @@
+#include "jasminequay/Control/instancecontrol.h"
+
+#include "jasminequay/Support/logevent.h"
+
+#include <algorithm>
+
+namespace jasminequay
+{
+
+/// A request that got no answer is repeated after this time.
+constexpr Duration RequestInterval = std::chrono::seconds(1);
+
+/// The confirmations asked for at once, so that the messages do not grow with the square of the data centre's size.
+constexpr std::size_t RequestsAtOnce = 8;
+
+static MembershipTiming timingOf(const InstanceSettings &settings)
+{
+    MembershipTiming timing;
+    timing.heartbeatInterval = settings.heartbeatInterval;
+    timing.lease = settings.lease;
+    return timing;
+}
+
+static DigestEntry firstEntry(const InstanceSettings &settings, std::uint64_t incarnation)
+{
+    DigestEntry entry;
+    entry.instance = settings.instance;
+    entry.incarnation = incarnation;
+    return entry;
+}
+
+InstanceControl::InstanceControl(
+    const InstanceSettings &settings, std::uint64_t incarnation, TimePoint now, std::uint64_t seed)
+    : m_instance(settings)
+    , m_self(instanceIdOf(settings.instance))
+    , m_members(
+          firstEntry(settings, incarnation), settings.peerData, settings.peerControl, timingOf(settings), now, seed)
+    , m_settings(settings.dataCentre, incarnation)
+    , m_joinDeadline(now + settings.lease)
+    , m_settingsRequestedAt(now - RequestInterval)
+    , m_confirmationsRequestedAt(now)
+{
+}
+
+void InstanceControl::send(const std::string &to, ControlBody body)
+{
+    const auto found = m_members.members().find(to);
+    if (found != m_members.members().end() && found->second.peerControl.port != 0) {
+        m_outgoing.push_back({to, found->second.peerControl, std::move(body)});
+    }
+}
+
+void InstanceControl::sendDigests(std::vector<OutgoingDigest> digests)
+{
+    for (OutgoingDigest &outgoing : digests) {
+        send(outgoing.to, std::move(outgoing.digest));
+    }
+}
+
+void InstanceControl::tick(TimePoint now)
+{
+    m_members.setSettingsVersion(m_settings.version());
+    sendDigests(m_members.tick(now));
+    finishJoin(now);
+    requestNewerSettings(now);
+    if (m_settings.settleIfConfirmed(m_members, m_instance.lease, now)) {
+        LogEvent(Severity::Info, "settings-settled").with("version", m_settings.version());
+    }
+    if (m_settings.holdsBack() && now - m_confirmationsRequestedAt >= RequestInterval) {
+        requestConfirmations(now);
+    }
+}
+
+void InstanceControl::addSeed(const std::string &name, Endpoint peerData, Endpoint peerControl, TimePoint now)
+{
+    m_members.addSeed(name, peerData, peerControl, now);
+}
+
+bool InstanceControl::owns(ServiceId service) const
+{
+    const ServiceOwners *const owners = m_ownership->owners(service);
+    return owners != nullptr && std::find(owners->owners.begin(), owners->owners.end(), m_self) != owners->owners.end();
+}
+
+void InstanceControl::finishJoin(TimePoint now)
+{
+    if (now >= m_joinDeadline && !m_stashedText.empty()) {
+        noteOffer(m_settings.offer(std::exchange(m_stashedText, {}), now));
+    }
+    const bool mayServe = m_settings.version() > 0 && now >= m_joinDeadline && !m_members.isFenced();
+    if (mayServe && m_members.self().phase == MemberPhase::Joining) {
+        m_members.setPhase(MemberPhase::Ready);
+        LogEvent(Severity::Info, "instance-ready").with("version", m_settings.version());
+    }
+}
+
+void InstanceControl::requestNewerSettings(TimePoint now)
+{
+    const auto &[version, peer] = m_members.newestSettings();
+    if (version <= m_settings.version() || now - m_settingsRequestedAt < RequestInterval) {
+        return;
+    }
+    m_settingsRequestedAt = now;
+    send(peer, SettingsRequest {m_settings.version()});
+}
+
+void InstanceControl::requestConfirmations(TimePoint now)
+{
+    m_confirmationsRequestedAt = now;
+    std::size_t sent = 0;
+    for (const auto &[name, member] : m_members.members()) {
+        const bool isMissing = !m_settings.confirmations().hasConfirmed(member, m_settings.version());
+        if (isMissing && sent < RequestsAtOnce) {
+            send(name, ConfirmationRequest {m_settings.version()});
+            ++sent;
+        }
+    }
+}
+
+void InstanceControl::onMessage(const ControlMessage &message, TimePoint now)
+{
+    std::visit([&](const auto &body) { handle(message.sender, body, now); }, message.body);
+}
+
+void InstanceControl::handle(const std::string &sender, const Digest &digest, TimePoint now)
+{
+    sendDigests(m_members.onDigest(sender, digest, now));
+    // A version that has just appeared is fetched at once; the timer only repeats what was lost.
+    requestNewerSettings(now);
+}
+
+void InstanceControl::handle(const std::string &sender, const SettingsRequest &request, TimePoint now)
+{
+    static_cast<void>(now);
+    if (m_settings.version() > request.aboveVersion) {
+        send(sender, m_settings.reply());
+    }
+    if (m_list.version > 0 && request.aboveVersion == 0) {
+        send(sender, m_list);
+    }
+}
+
+void InstanceControl::handle(const std::string &sender, const SettingsReply &reply, TimePoint now)
+{
+    static_cast<void>(sender);
+    m_stashedText.clear();
+    noteOffer(m_settings.offerFromPeer(reply, now));
+}
+
+void InstanceControl::handle(const std::string &sender, const Confirmation &confirmation, TimePoint now)
+{
+    static_cast<void>(now);
+    if (!m_settings.onConfirmation(sender, confirmation)) {
+        send(sender, ConfirmationRequest {confirmation.version});
+    }
+}
+
+void InstanceControl::handle(const std::string &sender, const BindingBatch &batch, TimePoint now)
+{
+    static_cast<void>(now);
+    const InstanceId from = instanceIdOf(sender);
+    for (const BindingMessage &binding : batch.bindings) {
+        m_bindings.push_back({from, binding});
+    }
+    if (batch.version > 0) {
+        m_settings.noteShared(sender, batch);
+    }
+}
+
+void InstanceControl::handle(const std::string &sender, const InstanceList &list, TimePoint now)
+{
+    static_cast<void>(sender);
+    if (list.version > m_list.version) {
+        m_list = list;
+        m_members.adoptList(list, now);
+    }
+}
+
+void InstanceControl::handle(const std::string &sender, const ConfirmationRequest &request, TimePoint now)
+{
+    static_cast<void>(now);
+    if (m_settings.version() >= request.version) {
+        sendConfirmation(sender);
+    }
+}
+
+void InstanceControl::sendConfirmation(const std::string &to)
+{
+    for (ControlBody &body : m_settings.confirmation()) {
+        send(to, std::move(body));
+    }
+}
+
+void InstanceControl::noteOffer(Offer offer)
+{
+    const SettingsLedger &ledger = m_settings.ledger();
+    switch (offer) {
+    case Offer::Accepted:
+        m_members.setSettingsVersion(ledger.version());
+        LogEvent(Severity::Info, "settings-accepted").with("version", ledger.version());
+        return;
+    case Offer::Conflicting:
+        LogEvent(Severity::Error, "settings-conflict")
+            .with("version", ledger.version())
+            .with("reason", "another content has the version in force");
+        return;
+    case Offer::Refused:
+        LogEvent(Severity::Error, "settings-refused")
+            .with("mistakes", ledger.mistakes().size())
+            .with("first", describe(ledger.mistakes().front(), "settings"))
+            .with("version-in-force", ledger.version());
+        return;
+    case Offer::Stale:
+        return;
+    }
+}
+
+Offer InstanceControl::onSettings(const std::string &text, TimePoint now)
+{
+    // A peer knows what the version holds back; the platform does not. A joining instance hears its peers first.
+    if (m_settings.version() == 0 && now < m_joinDeadline) {
+        m_stashedText = text;
+        return Offer::Stale;
+    }
+    const Offer offer = m_settings.offer(text, now);
+    noteOffer(offer);
+    return offer;
+}
+
+void InstanceControl::onInstanceList(const InstanceList &list, TimePoint now)
+{
+    if (list.version <= m_list.version) {
+        return;
+    }
+    InstanceList own;
+    own.version = list.version;
+    std::copy_if(list.instances.begin(), list.instances.end(), std::back_inserter(own.instances),
+        [this](const ListedInstance &listed) { return listed.dataCentre == m_instance.dataCentre; });
+    m_list = own;
+    m_members.adoptList(own, now);
+    for (const auto &[name, member] : m_members.members()) {
+        send(name, own);
+    }
+}
+
+void InstanceControl::onPlatformHealth(bool isFailing)
+{
+    m_members.setPlatformFailing(isFailing);
+}
+
+void InstanceControl::onEngineBindings(const std::vector<OutgoingBinding> &bindings)
+{
+    std::map<InstanceId, BindingBatch> batches;
+    for (const OutgoingBinding &outgoing : bindings) {
+        if (outgoing.message.kind == BindingKind::Shared) {
+            m_settings.share(outgoing.message);
+            continue;
+        }
+        batches[outgoing.to].bindings.push_back(outgoing.message);
+    }
+    for (const auto &[name, member] : m_members.members()) {
+        if (const auto found = batches.find(member.id); found != batches.end()) {
+            send(name, std::move(found->second));
+        }
+    }
+}
+
+void InstanceControl::onSwept(std::uint64_t version, TimePoint now)
+{
+    static_cast<void>(now);
+    const bool wasConfirmed = m_settings.isConfirmedHere();
+    m_settings.noteSwept(version);
+    if (wasConfirmed || !m_settings.isConfirmedHere()) {
+        return;
+    }
+    for (const auto &[name, member] : m_members.members()) {
+        sendConfirmation(name);
+    }
+}
+
+void InstanceControl::beginLeave(TimePoint now)
+{
+    m_members.setPhase(MemberPhase::Leaving);
+    // Everyone hears it now and not with the next heartbeats.
+    for (const auto &[name, member] : m_members.members()) {
+        sendDigests(m_members.digestFor(name));
+    }
+    static_cast<void>(now);
+}
+
+std::optional<RoutingSnapshot> InstanceControl::takeSnapshot(TimePoint now)
+{
+    const bool isSame
+        = m_publishedCatalogue == m_settings.catalogue() && m_publishedView == m_members.viewNumber();
+    if (isSame) {
+        return std::nullopt;
+    }
+    // After a pause nothing is known of what happened to the owners, so all of them count as changed.
+    const bool hasRejoined = m_publishedRejoin != m_members.rejoinedAt();
+    const OwnershipView before = hasRejoined ? OwnershipView {} : *m_ownership;
+    m_ownership = std::make_shared<const OwnershipView>(
+        *m_settings.catalogue(), m_self, m_members.eligible(), m_members.reachable(), before, now);
+    m_publishedCatalogue = m_settings.catalogue();
+    m_publishedView = m_members.viewNumber();
+    m_publishedRejoin = m_members.rejoinedAt();
+    return RoutingSnapshot {m_publishedCatalogue, m_ownership};
+}
+
+bool InstanceControl::shouldWatchPlatform() const
+{
+    return m_members.platformWatcher() == m_self || m_members.self().isPlatformFailing;
+}
+
+TimePoint InstanceControl::leaseUntil() const
+{
+    return m_members.leaseUntil();
+}
+
+bool InstanceControl::isReady() const
+{
+    return m_settings.version() > 0 && !m_members.isFenced() && m_members.self().phase == MemberPhase::Ready;
+}
+
+} // namespace jasminequay
--- a/lib/Membership/membertable.cpp
+++ b/lib/Membership/membertable.cpp
@@ -267,6 +267,12 @@
     return {{sender, makeDigest(false)}};
 }
 
+std::vector<OutgoingDigest> MemberTable::digestFor(const std::string &name)
+{
+    ++m_self.heartbeat;
+    return {{name, makeDigest(false)}};
+}
+
 void MemberTable::setPhase(MemberPhase phase)
 {
     m_self.phase = phase;
--- /dev/null
+++ b/lib/Node/nodecontrol.cpp
@@ -0,0 +1,419 @@
+#include "nodecontrol.h"
+
+#include "jasminequay/Platform/instancelistparser.h"
+#include "jasminequay/Support/logevent.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+namespace jasminequay
+{
+
+namespace asio = boost::asio;
+
+constexpr Duration TreeInterval = std::chrono::seconds(1);
+constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration ProbeInterval = std::chrono::milliseconds(500);
+
+/// A leaving instance that got no packet from the fabric for this long is no longer in its way.
+constexpr Duration QuietBeforeExit = std::chrono::seconds(2);
+
+static TimePoint currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+static std::int64_t wallMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
+NodeControl::NodeControl(const InstanceSettings &settings, std::string treeFile)
+    : m_settings(settings)
+    , m_treeFile(std::move(treeFile))
+    , m_incarnation(static_cast<std::uint64_t>(wallMilliseconds()))
+    , m_control(settings, m_incarnation, currentTime(), hashWords(m_incarnation, instanceIdOf(settings.instance).value))
+    , m_link(settings)
+    , m_records(settings.instance, m_incarnation)
+    , m_operators(m_context, [this](const std::string &path) { return pageFor(path); })
+{
+}
+
+NodeControl::~NodeControl()
+{
+    for (const std::unique_ptr<Descriptor> &descriptor : m_peerDescriptors) {
+        descriptor->release();
+    }
+}
+
+Result<void> NodeControl::open()
+{
+    BOOST_LEAF_CHECK(m_records.open(m_settings.recordFile, wallMilliseconds()));
+    BOOST_LEAF_CHECK(m_link.open());
+    BOOST_LEAF_CHECK(m_operators.open(m_settings.operators));
+    return openWorkers();
+}
+
+Result<void> NodeControl::openWorkers()
+{
+    for (std::uint32_t index = 0; index < m_settings.trafficThreads; ++index) {
+        m_workers.push_back(std::make_unique<TrafficWorker>(m_settings, index, workerHooks()));
+        BOOST_LEAF_CHECK(m_workers.back()->open());
+    }
+    m_sweptVersions.resize(m_workers.size());
+    return {};
+}
+
+WorkerHooks NodeControl::workerHooks()
+{
+    WorkerHooks hooks;
+    hooks.takeRecords = [this](std::vector<FlowRecord> records) {
+        asio::post(m_context, [this, records = std::move(records)]() mutable { writeRecords(std::move(records)); });
+    };
+    hooks.sendBindings = [this](std::vector<OutgoingBinding> bindings) {
+        asio::post(m_context, [this, bindings = std::move(bindings)]() {
+            m_control.onEngineBindings(bindings);
+            sendOutgoing();
+        });
+    };
+    hooks.noteSwept = [this](std::uint32_t worker, std::uint64_t version) {
+        asio::post(m_context, [this, worker, version]() { noteSwept(worker, version); });
+    };
+    return hooks;
+}
+
+NodeEnd NodeControl::run()
+{
+    const TimePoint now = currentTime();
+    for (const PeerKey &peer : m_settings.peers) {
+        if (peer.peerControl.port != 0) {
+            m_control.addSeed(peer.instance, peer.peerData, peer.peerControl, now);
+        }
+    }
+    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
+        worker->start();
+    }
+    readTree();
+    watchPlatform();
+    watchPeers();
+    m_prober = std::make_unique<TargetProber>(m_context, [this]() { return probedTargets(); }, ProbeInterval);
+    m_prober->start();
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
+    waitForSignal();
+    subscribeTimers(now);
+    scheduleTimers();
+    LogEvent(Severity::Info, "instance-started")
+        .with("instance", m_settings.instance)
+        .with("incarnation", m_incarnation)
+        .with("data-centre", m_settings.dataCentre);
+    m_context.run();
+    return m_end;
+}
+
+void NodeControl::subscribeTimers(TimePoint now)
+{
+    m_timers.subscribe("heartbeat", m_settings.heartbeatInterval, now, [this](TimePoint time) {
+        m_control.tick(time);
+        publish(time);
+    });
+    m_timers.subscribe("leave", LeaveCheckInterval, now, [this](TimePoint time) { checkLeave(time); });
+    m_timers.subscribe("peers", LeaveCheckInterval, now, [this](TimePoint) { receivePeers(); });
+    if (!m_treeFile.empty()) {
+        m_timers.subscribe("tree", TreeInterval, now, [this](TimePoint) { readTree(); });
+    }
+}
+
+void NodeControl::scheduleTimers()
+{
+    const TimePoint due = m_timers.nextDue(currentTime() + std::chrono::seconds(1));
+    m_timer.expires_at(std::chrono::time_point_cast<std::chrono::steady_clock::duration>(due));
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        m_timers.advance(currentTime());
+        scheduleTimers();
+    });
+}
+
+void NodeControl::readTree()
+{
+    if (m_treeFile.empty()) {
+        return;
+    }
+    std::ifstream file(m_treeFile);
+    const std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    if (file.bad() || text.empty()) {
+        LogEvent(Severity::Warning, "tree-unreadable").with("file", m_treeFile);
+        return;
+    }
+    const TimePoint now = currentTime();
+    m_control.onSettings(text, now);
+    publish(now);
+}
+
+void NodeControl::watchPlatform()
+{
+    if (m_settings.platform.port == 0) {
+        return;
+    }
+    PlatformWatchHooks settingsHooks;
+    settingsHooks.shouldWatch = [this]() { return m_control.shouldWatchPlatform(); };
+    settingsHooks.version = [this]() { return m_control.settings().version(); };
+    settingsHooks.health = [this](bool isFailing) { m_control.onPlatformHealth(isFailing); };
+    settingsHooks.take = [this](const std::string &text) {
+        const TimePoint now = currentTime();
+        m_control.onSettings(text, now);
+        publish(now);
+    };
+    PlatformWatchHooks instancesHooks = settingsHooks;
+    instancesHooks.version = [this]() { return m_listVersion; };
+    instancesHooks.take = [this](const std::string &text) {
+        withFailure(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(list, parseInstanceList(text, format(m_settings.platform)));
+                const TimePoint now = currentTime();
+                m_listVersion = list.version;
+                m_control.onInstanceList(list, now);
+                publish(now);
+                return {};
+            },
+            [](const Failure &failure) {
+                LogEvent(Severity::Error, "instance-list-refused").with("reason", describe(failure));
+            });
+    };
+    const std::uint64_t seed = hashWords(m_incarnation, instanceIdOf(m_settings.instance).value);
+    m_settingsWatch = std::make_unique<PlatformWatch>(
+        m_context, m_settings.platform, PlatformValue::Settings, std::move(settingsHooks), seed);
+    m_instancesWatch = std::make_unique<PlatformWatch>(
+        m_context, m_settings.platform, PlatformValue::Instances, std::move(instancesHooks), seed + 1);
+    m_settingsWatch->start();
+    m_instancesWatch->start();
+}
+
+void NodeControl::watchPeers()
+{
+    for (const int descriptor : m_link.descriptors()) {
+        m_peerDescriptors.push_back(std::make_unique<Descriptor>(m_context, descriptor));
+        waitForPeers(*m_peerDescriptors.back());
+    }
+}
+
+void NodeControl::waitForPeers(Descriptor &descriptor)
+{
+    descriptor.async_wait(Descriptor::wait_read, [this, &descriptor](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        receivePeers();
+        waitForPeers(descriptor);
+    });
+}
+
+void NodeControl::receivePeers()
+{
+    bool hasReceived = false;
+    m_link.receive([this, &hasReceived](const ControlMessage &message) {
+        hasReceived = true;
+        m_control.onMessage(message, currentTime());
+    });
+    if (hasReceived) {
+        publish(currentTime());
+    }
+}
+
+/// Brings everything that the control decisions changed to where it takes effect.
+void NodeControl::publish(TimePoint now)
+{
+    if (const std::optional<RoutingSnapshot> snapshot = m_control.takeSnapshot(now)) {
+        publishSnapshot(*snapshot);
+    }
+    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
+        worker->extendLease(m_control.leaseUntil());
+    }
+    deliverBindings();
+    sendOutgoing();
+}
+
+void NodeControl::publishSnapshot(const RoutingSnapshot &snapshot)
+{
+    auto peers = std::make_shared<PeerDirectory>();
+    for (const auto &[name, member] : m_control.members().members()) {
+        if (member.peerData.port != 0) {
+            peers->emplace(member.id.value, member.peerData);
+        }
+    }
+    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
+        worker->adopt(snapshot, peers);
+    }
+}
+
+void NodeControl::sendOutgoing()
+{
+    for (const OutgoingControl &outgoing : m_control.takeOutgoing()) {
+        withFailure([&]() { return m_link.send(outgoing.to, outgoing.address, outgoing.body); },
+            [](const Failure &failure) {
+                LogEvent(Severity::Warning, "peer-send-failed").with("reason", describe(failure));
+            });
+    }
+}
+
+void NodeControl::deliverBindings()
+{
+    const std::vector<IncomingBinding> bindings = m_control.takeBindings();
+    if (bindings.empty()) {
+        return;
+    }
+    std::vector<std::vector<std::pair<InstanceId, BindingMessage>>> byWorker(m_workers.size());
+    for (const IncomingBinding &binding : bindings) {
+        const std::size_t worker = steeringOf(binding.message.flow.caller) % m_workers.size();
+        byWorker[worker].emplace_back(binding.from, binding.message);
+    }
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (!byWorker[index].empty()) {
+            m_workers[index]->takeBindings(std::move(byWorker[index]));
+        }
+    }
+}
+
+void NodeControl::noteSwept(std::uint32_t worker, std::uint64_t version)
+{
+    m_sweptVersions[worker] = version;
+    const TimePoint now = currentTime();
+    m_control.onSwept(*std::min_element(m_sweptVersions.begin(), m_sweptVersions.end()), now);
+    publish(now);
+}
+
+void NodeControl::writeRecords(std::vector<FlowRecord> records)
+{
+    withFailure([&]() { return m_records.write(records, wallMilliseconds()); },
+        [](const Failure &failure) { LogEvent(Severity::Error, "records-lost").with("reason", describe(failure)); });
+}
+
+void NodeControl::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int) {
+        if (error) {
+            return;
+        }
+        if (m_isLeaving) {
+            finish(NodeEnd::Interrupted);
+            return;
+        }
+        beginLeave();
+        waitForSignal();
+    });
+}
+
+void NodeControl::beginLeave()
+{
+    const TimePoint now = currentTime();
+    m_isLeaving = true;
+    m_leaveStarted = now;
+    m_quietSince = now;
+    m_control.beginLeave(now);
+    publish(now);
+    LogEvent(Severity::Info, "instance-leaving").with("flows", traffic().flows);
+}
+
+Duration NodeControl::drainDeadline() const
+{
+    Duration longest = std::chrono::seconds(1);
+    for (const Catalogue::TablePointer &table : m_control.settings().catalogue()->tables()) {
+        longest = table ? std::max(longest, table->policy.drainDeadline) : longest;
+    }
+    return longest;
+}
+
+void NodeControl::checkLeave(TimePoint now)
+{
+    if (!m_isLeaving) {
+        return;
+    }
+    const TrafficCounters counters = traffic();
+    if (counters.fabricPackets != m_fabricPackets || counters.waitingHandovers > 0) {
+        m_fabricPackets = counters.fabricPackets;
+        m_quietSince = now;
+    }
+    if (now - m_quietSince >= QuietBeforeExit) {
+        finish(NodeEnd::Drained);
+        return;
+    }
+    if (now - m_leaveStarted >= drainDeadline()) {
+        LogEvent(Severity::Warning, "drain-deadline-passed")
+            .with("flows", counters.flows)
+            .with("handovers-waiting", counters.waitingHandovers);
+        finish(NodeEnd::Deadline);
+    }
+}
+
+void NodeControl::finish(NodeEnd end)
+{
+    m_end = end;
+    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
+        worker->stop();
+    }
+    // The last records of the traffic threads are already posted; the stop record follows them.
+    asio::post(m_context, [this]() {
+        withFailure([this]() { return m_records.close(wallMilliseconds()); },
+            [](const Failure &failure) { LogEvent(Severity::Error, "records-lost").with("reason", describe(failure)); });
+        LogEvent(Severity::Info, "instance-stopped").with("flows", traffic().flows);
+        m_context.stop();
+    });
+}
+
+TrafficCounters NodeControl::traffic() const
+{
+    TrafficCounters sum;
+    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
+        worker->stats().addTo(sum);
+    }
+    return sum;
+}
+
+OperatorPage NodeControl::pageFor(const std::string &path) const
+{
+    if (path == "/healthz") {
+        return {200, "ok\n"};
+    }
+    if (path == "/readyz") {
+        return m_control.isReady() ? OperatorPage {200, "ready\n"} : OperatorPage {503, "not ready\n"};
+    }
+    if (path == "/metrics") {
+        ControlCounters counters;
+        counters.peers = m_link.counters();
+        counters.records = m_records.sequence();
+        if (m_settingsWatch) {
+            counters.platformCalls = m_settingsWatch->calls() + m_instancesWatch->calls();
+            counters.platformFailures = m_settingsWatch->failures() + m_instancesWatch->failures();
+        }
+        return {200, metricsPage(m_control, traffic(), counters)};
+    }
+    return {404, "unknown page\n"};
+}
+
+std::vector<ProbedTarget> NodeControl::probedTargets() const
+{
+    std::vector<ProbedTarget> targets;
+    for (const Catalogue::TablePointer &table : m_control.settings().catalogue()->tables()) {
+        if (!table || table->policy.reportPort == 0 || !m_control.owns(table->id)) {
+            continue;
+        }
+        for (const TargetEntry &target : table->targets) {
+            const Endpoint endpoint {
+                target.settings.address.address, static_cast<std::uint16_t>(table->policy.reportPort)};
+            targets.push_back({endpoint, [load = target.load](const LoadReport &report) {
+                                   load->report(report.outstanding, report.isShedding, currentTime());
+                               }});
+        }
+    }
+    return targets;
+}
+
+} // namespace jasminequay
--- a/lib/Peer/controlmessage.cpp
+++ b/lib/Peer/controlmessage.cpp
@@ -35,6 +35,14 @@
     body.set_version(reply.version);
     body.set_size(reply.text.size());
     body.set_deflated(deflateText(reply.text));
+    for (const auto &[endpoint, protocol] : reply.held.endpoints) {
+        wire::WireHeldEndpoint &held = *body.add_held_endpoints();
+        toWire(endpoint, *held.mutable_endpoint());
+        held.set_protocol(static_cast<std::uint32_t>(protocol));
+    }
+    for (const std::string &service : reply.held.services) {
+        body.add_held_services(service);
+    }
 }
 
 static void toWire(const Confirmation &confirmation, wire::WireControl &control)
@@ -101,7 +109,16 @@
         return std::nullopt;
     }
     std::optional<std::string> text = inflateText(body.deflated(), body.size());
-    return text ? std::optional(SettingsReply{body.version(), std::move(*text)}) : std::nullopt;
+    if (!text) {
+        return std::nullopt;
+    }
+    SettingsReply reply {body.version(), std::move(*text), {}};
+    for (const wire::WireHeldEndpoint &held : body.held_endpoints()) {
+        const bool isTcp = held.protocol() == static_cast<std::uint32_t>(Protocol::Tcp);
+        reply.held.endpoints.emplace(fromWire(held.endpoint()), isTcp ? Protocol::Tcp : Protocol::Udp);
+    }
+    reply.held.services.insert(body.held_services().begin(), body.held_services().end());
+    return reply;
 }
 
 static std::optional<BindingBatch> bindingsFrom(const wire::WireBindings &body)
--- a/lib/Placement/cataloguebuilder.cpp
+++ b/lib/Placement/cataloguebuilder.cpp
@@ -83,7 +83,7 @@
         && left.replicateAfter == right.replicateAfter && left.slowStart == right.slowStart
         && left.recordInterval == right.recordInterval && left.objectiveWhole == right.objectiveWhole
         && left.objectiveRefused == right.objectiveRefused
-        && left.objectiveFirstPacket == right.objectiveFirstPacket;
+        && left.objectiveFirstPacket == right.objectiveFirstPacket && left.reportPort == right.reportPort;
 }
 
 static bool isSameTable(const ServiceTable &left, const ServiceTable &right)
@@ -155,6 +155,54 @@
     return std::any_of(tables.begin(), tables.end(), isHeldBack);
 }
 
+std::shared_ptr<const Catalogue> CatalogueBuilder::applyFirst(
+    const Configuration &configuration, const HeldBack &held, TimePoint now)
+{
+    apply(configuration, now);
+    std::vector<Catalogue::TablePointer> tables = m_current->tables();
+    for (Catalogue::TablePointer &table : tables) {
+        if (!table) {
+            continue;
+        }
+        auto marked = std::make_shared<ServiceTable>(*table);
+        marked->isQuarantined = held.endpoints.contains({table->address, table->protocol});
+        for (TargetEntry &target : marked->targets) {
+            target.isQuarantined = held.endpoints.contains({target.settings.address, table->protocol});
+        }
+        if (held.services.contains(table->name)) {
+            // The table before is unknown here. One without targets agrees with nothing, so that every new flow waits.
+            auto unknown = std::make_shared<ServiceTable>(*table);
+            unknown->targets.clear();
+            marked->previous = std::move(unknown);
+        }
+        table = std::move(marked);
+    }
+    m_current = std::make_shared<const Catalogue>(m_current->version(), std::move(tables));
+    return m_current;
+}
+
+HeldBack CatalogueBuilder::heldBack() const
+{
+    HeldBack held;
+    for (const Catalogue::TablePointer &table : m_current->tables()) {
+        if (!table) {
+            continue;
+        }
+        if (table->previous) {
+            held.services.insert(table->name);
+        }
+        if (table->isQuarantined) {
+            held.endpoints.emplace(table->address, table->protocol);
+        }
+        for (const TargetEntry &target : table->targets) {
+            if (target.isQuarantined) {
+                held.endpoints.emplace(target.settings.address, table->protocol);
+            }
+        }
+    }
+    return held;
+}
+
 std::shared_ptr<const Catalogue> CatalogueBuilder::settle()
 {
     std::vector<Catalogue::TablePointer> tables = m_current->tables();
--- a/lib/Settings/instancesettings.cpp
+++ b/lib/Settings/instancesettings.cpp
@@ -98,6 +98,8 @@
         YamlMapping entry(node, "peers/" + std::to_string(settings.peers.size()), mistakes);
         entry.takeParsed("instance", "a name", true, parseName, peer.instance);
         entry.takeParsed("public-key", "a key of 40 characters", true, parseCurveKey, peer.publicKey);
+        entry.takeParsed("peer-data", "an address with a port", false, parseEndpoint, peer.peerData);
+        entry.takeParsed("peer-control", "an address with a port", false, parseEndpoint, peer.peerControl);
         entry.refuseRest();
         settings.peers.push_back(std::move(peer));
     }
--- a/lib/Settings/settingkey.cpp
+++ b/lib/Settings/settingkey.cpp
@@ -168,6 +168,8 @@
         readPercentage<&Policy::objectiveRefused>, printPercentage<&Policy::objectiveRefused>},
     durationKey<&Policy::objectiveFirstPacket>(PolicyKey::ObjectiveFirstPacket, "objective-first-packet",
         "the time to the first packet of an answer"),
+    countKey<&Policy::reportPort, 0, 65535>(PolicyKey::ReportPort, "report-port", "port",
+        "the port at which each target reports its load over HTTP; 0 means that it does not"),
 }};
 
 std::span<const SettingKey> settingKeys()
