--- a/lib/Platform/instancelistparser.cpp
+++ b/lib/Platform/instancelistparser.cpp
@@ -35,13 +35,13 @@
 
 static Result<InstanceList> readList(const YAML::Node &root, const std::string &platform)
 {
-    const std::optional<std::uint64_t> version = root.IsMap() ? parseNumber(textOf(root, "version")) : std::nullopt;
+    const std::uint64_t version = root.IsMap() ? parseNumber(textOf(root, "version")).value_or(0) : 0;
     const YAML::Node instances = root.IsMap() ? root["instances"] : YAML::Node();
-    if (!version || !instances.IsDefined() || !instances.IsSequence()) {
+    if (version == 0 || !instances.IsDefined() || (!instances.IsSequence() && !instances.IsNull())) {
         return fail(Step::ReadPlatform, platform, "the list of instances lacks its version or its instances");
     }
     InstanceList list;
-    list.version = *version;
+    list.version = version;
     for (const YAML::Node &node : instances) {
         const std::optional<ListedInstance> instance = parseInstance(node);
         if (!instance) {
