--- a/include/jasminequay/Control/instancecontrol.h
+++ b/include/jasminequay/Control/instancecontrol.h
@@ -1,4 +1,5 @@
-// The control decisions of one instance: membership, settings and ownership together. No clock, socket or thread inside.
+// The control decisions of one instance: membership, settings and ownership together. No clock, socket or
+// thread inside.
 #pragma once
 
 #include "jasminequay/Control/settingscontrol.h"
@@ -29,7 +30,8 @@
 class InstanceControl
 {
 public:
-    InstanceControl(const InstanceSettings &settings, std::uint64_t incarnation, TimePoint now, std::uint64_t seed);
+    InstanceControl(
+        const InstanceSettings &settings, std::uint64_t incarnation, TimePoint now, std::uint64_t seed);
 
     /// Beats, ages members, settles versions and repeats what was lost. Called at each heartbeat interval.
     void tick(TimePoint now);
@@ -73,7 +75,8 @@
     /// Returns the routing snapshot if it has changed since the last call.
     std::optional<RoutingSnapshot> takeSnapshot(TimePoint now);
 
-    /// Tells whether this instance is to read the platform now. One that failed keeps trying at its own backoff.
+    /// Tells whether this instance is to read the platform now. One that failed keeps trying at its own
+    /// backoff.
     [[nodiscard]] bool shouldWatchPlatform() const;
 
     /// Tells whether this instance owns flows of a service.
@@ -115,6 +118,7 @@
     void requestNewerSettings(TimePoint now);
     void requestConfirmations(TimePoint now);
     void finishJoin(TimePoint now);
+    [[nodiscard]] bool mayKnowPeers(TimePoint now) const;
     void noteOffer(Offer offer);
 
     InstanceSettings m_instance;
--- a/include/jasminequay/Control/settingscontrol.h
+++ b/include/jasminequay/Control/settingscontrol.h
@@ -15,7 +15,8 @@
 namespace jasminequay
 {
 
-/// The settings in force at one instance and the bindings that its peers must know before they place by a new version.
+/// The settings in force at one instance and the bindings that its peers must know before they place by a new
+/// version.
 class SettingsControl
 {
 public:
@@ -36,8 +37,8 @@
     /// Notes that every flow engine has gone through its table for a version.
     void noteSwept(std::uint64_t version);
 
-    /// Returns what a peer must get to hold this instance's word on the version in force, in this order; empty before the
-    /// engines have gone through their tables.
+    /// Returns what a peer must get to hold this instance's word on the version in force, in this order;
+    /// empty before the engines have gone through their tables.
     [[nodiscard]] std::vector<ControlBody> confirmation() const;
 
     /// Takes the shared bindings of a peer.
@@ -46,7 +47,8 @@
     /// Takes the confirmation of a peer; returns false if shared bindings are missing.
     bool onConfirmation(const std::string &peer, const Confirmation &confirmation);
 
-    /// Releases what the version holds back if every member has confirmed it. Returns whether the catalogue changed.
+    /// Releases what the version holds back if every member has confirmed it. Returns whether the catalogue
+    /// changed.
     bool settleIfConfirmed(const MemberTable &members, Duration lease, TimePoint now);
 
     /// Tells whether something is held back.
--- a/include/jasminequay/Fabric/datagrambatch.h
+++ b/include/jasminequay/Fabric/datagrambatch.h
@@ -32,8 +32,8 @@
 
 private:
     std::vector<std::array<std::uint8_t, MaximumDatagram>> m_buffers;
-    std::array<iovec, BatchSize> m_vectors {};
-    std::array<mmsghdr, BatchSize> m_headers {};
+    std::array<iovec, BatchSize> m_vectors{};
+    std::array<mmsghdr, BatchSize> m_headers{};
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Fabric/datagramsender.h
+++ b/include/jasminequay/Fabric/datagramsender.h
@@ -25,9 +25,9 @@
     }
 
 private:
-    std::array<iovec, BatchSize> m_vectors {};
-    std::array<sockaddr_in, BatchSize> m_addresses {};
-    std::array<mmsghdr, BatchSize> m_headers {};
+    std::array<iovec, BatchSize> m_vectors{};
+    std::array<sockaddr_in, BatchSize> m_addresses{};
+    std::array<mmsghdr, BatchSize> m_headers{};
     std::size_t m_count = 0;
 };
 
--- a/include/jasminequay/Fabric/steering.h
+++ b/include/jasminequay/Fabric/steering.h
@@ -1,5 +1,5 @@
-// Steering of datagrams to traffic threads in the kernel, so that one thread sees all packets of a flow and no packet is
-// passed between threads.
+// Steering of datagrams to traffic threads in the kernel, so that one thread sees all packets of a flow and
+// no packet is passed between threads.
 #pragma once
 
 #include "jasminequay/Fabric/udpsocket.h"
@@ -23,7 +23,8 @@
     return caller.address.value + caller.port;
 }
 
-/// Makes the kernel hand each datagram to the socket, in the order of binding, that its caller's steering value names.
+/// Makes the kernel hand each datagram to the socket, in the order of binding, that its caller's steering
+/// value names.
 Result<void> steer(const UdpSocket &socket, SteeredTraffic traffic, std::uint32_t threads);
 
 } // namespace jasminequay
--- a/include/jasminequay/Node/metricspage.h
+++ b/include/jasminequay/Node/metricspage.h
@@ -19,6 +19,7 @@
 };
 
 /// Prints all metrics; docs/operations.md names each.
-std::string metricsPage(const InstanceControl &control, const TrafficCounters &traffic, const ControlCounters &counters);
+std::string metricsPage(
+    const InstanceControl &control, const TrafficCounters &traffic, const ControlCounters &counters);
 
 } // namespace jasminequay
--- a/include/jasminequay/Node/packetpath.h
+++ b/include/jasminequay/Node/packetpath.h
@@ -36,7 +36,8 @@
     /// Handles a datagram of a peer.
     void onPeerDatagram(std::span<const std::uint8_t> bytes, TimePoint now);
 
-    /// Sends what the engine has to say. Bindings that go over the control connection are appended to `forControl`.
+    /// Sends what the engine has to say. Bindings that go over the control connection are appended to
+    /// `forControl`.
     void drainEngine(std::vector<OutgoingBinding> &forControl);
 
     /// Frees the bytes that waited for the output to be flushed.
--- a/include/jasminequay/Node/trafficworker.h
+++ b/include/jasminequay/Node/trafficworker.h
@@ -81,7 +81,7 @@
     FlowEngine m_engine;
     PacketPath m_path;
     WorkerStats m_stats;
-    std::atomic<Duration::rep> m_leaseUntil {0};
+    std::atomic<Duration::rep> m_leaseUntil{0};
     UdpSocket m_callerSocket;
     UdpSocket m_targetSocket;
     UdpSocket m_peerSocket;
@@ -91,11 +91,11 @@
     DatagramSender m_callerSender;
     DatagramSender m_targetSender;
     DatagramSender m_peerSender;
-    boost::asio::io_context m_context {1};
-    Descriptor m_callerDescriptor {m_context};
-    Descriptor m_targetDescriptor {m_context};
-    Descriptor m_peerDescriptor {m_context};
-    boost::asio::steady_timer m_sweepTimer {m_context};
+    boost::asio::io_context m_context{1};
+    Descriptor m_callerDescriptor{m_context};
+    Descriptor m_targetDescriptor{m_context};
+    Descriptor m_peerDescriptor{m_context};
+    boost::asio::steady_timer m_sweepTimer{m_context};
     std::uint64_t m_reportedVersion = 0;
     std::thread m_thread;
 };
--- a/include/jasminequay/Node/workerstats.h
+++ b/include/jasminequay/Node/workerstats.h
@@ -22,7 +22,7 @@
     std::uint64_t flows = 0;
     std::uint64_t waitingHandovers = 0;
     EngineCounters engine;
-    std::array<std::uint64_t, DropCauseCount> drops {};
+    std::array<std::uint64_t, DropCauseCount> drops{};
 };
 
 /// Publishes the counters of a traffic thread once for each batch.
@@ -39,7 +39,7 @@
     static constexpr std::size_t WordCount = sizeof(TrafficCounters) / sizeof(std::uint64_t);
     static_assert(sizeof(TrafficCounters) % sizeof(std::uint64_t) == 0, "the counters are whole words");
 
-    std::array<std::atomic<std::uint64_t>, WordCount> m_words {};
+    std::array<std::atomic<std::uint64_t>, WordCount> m_words{};
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Placement/cataloguebuilder.h
+++ b/include/jasminequay/Placement/cataloguebuilder.h
@@ -24,7 +24,8 @@
     std::shared_ptr<const Catalogue> apply(const Configuration &configuration, TimePoint now);
 
     /// Applies the first version of a joining instance, holding back what its peers hold back.
-    std::shared_ptr<const Catalogue> applyFirst(const Configuration &configuration, const HeldBack &held, TimePoint now);
+    std::shared_ptr<const Catalogue> applyFirst(
+        const Configuration &configuration, const HeldBack &held, TimePoint now);
 
     /// Releases what the present version holds back. Returns the new catalogue.
     std::shared_ptr<const Catalogue> settle();
--- a/include/jasminequay/Platform/httpexchange.h
+++ b/include/jasminequay/Platform/httpexchange.h
@@ -13,8 +13,8 @@
 namespace jasminequay
 {
 
-/// The answer to a request, or the failure in its place. Results do not cross the suspension of a coroutine, so the
-/// failure travels as a value.
+/// The answer to a request, or the failure in its place. Results do not cross the suspension of a coroutine,
+/// so the failure travels as a value.
 struct HttpAnswer {
     unsigned status = 0;
     std::string body;
--- a/include/jasminequay/Platform/platformwatch.h
+++ b/include/jasminequay/Platform/platformwatch.h
@@ -25,13 +25,13 @@
     std::function<void(bool)> health; ///< Told whether the platform failed.
 };
 
-/// Watches one value: one waiting request at a time, exponential backoff with full jitter after failures, and a budget over
-/// all calls.
+/// Watches one value: one waiting request at a time, exponential backoff with full jitter after failures, and
+/// a budget over all calls.
 class PlatformWatch
 {
 public:
-    PlatformWatch(boost::asio::io_context &context, Endpoint platform, PlatformValue value, PlatformWatchHooks hooks,
-        std::uint64_t seed);
+    PlatformWatch(boost::asio::io_context &context, Endpoint platform, PlatformValue value,
+        PlatformWatchHooks hooks, std::uint64_t seed);
 
     /// Starts the watch; it ends with the context.
     void start();
--- a/include/jasminequay/Platform/targetprober.h
+++ b/include/jasminequay/Platform/targetprober.h
@@ -20,7 +20,8 @@
     std::function<void(const LoadReport &)> take;
 };
 
-/// Probes a changing set of targets in turn. A target that fails is left alone until its next turn; its last report ages.
+/// Probes a changing set of targets in turn. A target that fails is left alone until its next turn; its last
+/// report ages.
 class TargetProber
 {
 public:
--- a/include/jasminequay/Record/burn.h
+++ b/include/jasminequay/Record/burn.h
@@ -18,7 +18,7 @@
     std::int64_t milliseconds;
 };
 
-constexpr std::array<BurnWindow, 4> BurnWindows {
+constexpr std::array<BurnWindow, 4> BurnWindows{
     {{"5m", 300'000}, {"1h", 3'600'000}, {"6h", 21'600'000}, {"3d", 259'200'000}}};
 
 /// An objective of a service.
@@ -28,7 +28,7 @@
     FirstPacket, ///< Answers begin in time.
 };
 
-constexpr std::array<Objective, 3> Objectives {Objective::Whole, Objective::Refused, Objective::FirstPacket};
+constexpr std::array<Objective, 3> Objectives{Objective::Whole, Objective::Refused, Objective::FirstPacket};
 
 std::string_view objectiveName(Objective objective);
 
@@ -45,11 +45,11 @@
 /// The burn of one service.
 struct ServiceBurn {
     std::string service;
-    std::array<std::array<BurnCell, BurnWindows.size()>, Objectives.size()> cells {};
+    std::array<std::array<BurnCell, BurnWindows.size()>, Objectives.size()> cells{};
 };
 
-/// Computes the burn of each service at a moment. Windows are the multi-window burn rates of Beyer et al., "The Site
-/// Reliability Workbook", 2018, chapter 5.
+/// Computes the burn of each service at a moment. Windows are the multi-window burn rates of Beyer et al.,
+/// "The Site Reliability Workbook", 2018, chapter 5.
 std::vector<ServiceBurn> computeBurn(
     const std::vector<ConnectionRecord> &records, const Configuration &configuration, std::int64_t now);
 
--- a/include/jasminequay/Record/connectionrecord.h
+++ b/include/jasminequay/Record/connectionrecord.h
@@ -20,8 +20,8 @@
 
 std::string_view recordKindName(RecordKind kind);
 
-/// A record with its place in the instance's sequence. Sequences start at one with each incarnation and have no gaps, so
-/// that a gap shows what is not known.
+/// A record with its place in the instance's sequence. Sequences start at one with each incarnation and have
+/// no gaps, so that a gap shows what is not known.
 struct ConnectionRecord {
     RecordKind kind = RecordKind::Flow;
     std::string instance;
--- a/include/jasminequay/Record/recordreader.h
+++ b/include/jasminequay/Record/recordreader.h
@@ -22,7 +22,8 @@
     std::uint64_t last = 0;
 };
 
-/// An incarnation without a stop record: it runs, or it died, and what it counted after its last record is not known.
+/// An incarnation without a stop record: it runs, or it died, and what it counted after its last record is
+/// not known.
 struct OpenEnd {
     std::string instance;
     std::uint64_t incarnation = 0;
--- a/include/jasminequay/Record/recordwriter.h
+++ b/include/jasminequay/Record/recordwriter.h
@@ -17,7 +17,8 @@
 public:
     RecordWriter(std::string instance, std::uint64_t incarnation);
 
-    /// Opens the file for appending and writes the start record. With an empty path records are counted but not kept.
+    /// Opens the file for appending and writes the start record. With an empty path records are counted but
+    /// not kept.
     Result<void> open(const std::string &path, std::int64_t at);
 
     /// Writes the records of flows.
--- a/lib/Control/instancecontrol.cpp
+++ b/lib/Control/instancecontrol.cpp
@@ -10,9 +10,13 @@
 /// A request that got no answer is repeated after this time.
 constexpr Duration RequestInterval = std::chrono::seconds(1);
 
-/// The confirmations asked for at once, so that the messages do not grow with the square of the data centre's size.
+/// The confirmations asked for at once, so that the messages do not grow with the square of the data centre's
+/// size.
 constexpr std::size_t RequestsAtOnce = 8;
 
+/// An instance that no list names for this many leases serves without one.
+constexpr int UnlistedLeases = 5;
+
 static MembershipTiming timingOf(const InstanceSettings &settings)
 {
     MembershipTiming timing;
@@ -33,8 +37,8 @@
     const InstanceSettings &settings, std::uint64_t incarnation, TimePoint now, std::uint64_t seed)
     : m_instance(settings)
     , m_self(instanceIdOf(settings.instance))
-    , m_members(
-          firstEntry(settings, incarnation), settings.peerData, settings.peerControl, timingOf(settings), now, seed)
+    , m_members(firstEntry(settings, incarnation), settings.peerData, settings.peerControl,
+          timingOf(settings), now, seed)
     , m_settings(settings.dataCentre, incarnation)
     , m_joinDeadline(now + settings.lease)
     , m_settingsRequestedAt(now - RequestInterval)
@@ -79,7 +83,8 @@
 bool InstanceControl::owns(ServiceId service) const
 {
     const ServiceOwners *const owners = m_ownership->owners(service);
-    return owners != nullptr && std::find(owners->owners.begin(), owners->owners.end(), m_self) != owners->owners.end();
+    return owners != nullptr
+        && std::find(owners->owners.begin(), owners->owners.end(), m_self) != owners->owners.end();
 }
 
 void InstanceControl::finishJoin(TimePoint now)
@@ -87,13 +92,24 @@
     if (now >= m_joinDeadline && !m_stashedText.empty()) {
         noteOffer(m_settings.offer(std::exchange(m_stashedText, {}), now));
     }
-    const bool mayServe = m_settings.version() > 0 && now >= m_joinDeadline && !m_members.isFenced();
+    const bool mayServe
+        = m_settings.version() > 0 && now >= m_joinDeadline && !m_members.isFenced() && mayKnowPeers(now);
     if (mayServe && m_members.self().phase == MemberPhase::Joining) {
         m_members.setPhase(MemberPhase::Ready);
         LogEvent(Severity::Info, "instance-ready").with("version", m_settings.version());
     }
 }
 
+/// An instance that does not know its peers would take every flow for its own. It owns nothing before the
+/// platform lists it, unless there is no platform or it stays silent.
+bool InstanceControl::mayKnowPeers(TimePoint now) const
+{
+    const bool isListed = std::any_of(m_list.instances.begin(), m_list.instances.end(),
+        [this](const ListedInstance &listed) { return listed.name == m_instance.instance; });
+    return isListed || m_instance.platform.port == 0
+        || now >= m_joinDeadline + UnlistedLeases * m_instance.lease;
+}
+
 void InstanceControl::requestNewerSettings(TimePoint now)
 {
     const auto &[version, peer] = m_members.newestSettings();
@@ -101,7 +117,7 @@
         return;
     }
     m_settingsRequestedAt = now;
-    send(peer, SettingsRequest {m_settings.version()});
+    send(peer, SettingsRequest{m_settings.version()});
 }
 
 void InstanceControl::requestConfirmations(TimePoint now)
@@ -111,7 +127,7 @@
     for (const auto &[name, member] : m_members.members()) {
         const bool isMissing = !m_settings.confirmations().hasConfirmed(member, m_settings.version());
         if (isMissing && sent < RequestsAtOnce) {
-            send(name, ConfirmationRequest {m_settings.version()});
+            send(name, ConfirmationRequest{m_settings.version()});
             ++sent;
         }
     }
@@ -151,7 +167,7 @@
 {
     static_cast<void>(now);
     if (!m_settings.onConfirmation(sender, confirmation)) {
-        send(sender, ConfirmationRequest {confirmation.version});
+        send(sender, ConfirmationRequest{confirmation.version});
     }
 }
 
@@ -217,7 +233,8 @@
 
 Offer InstanceControl::onSettings(const std::string &text, TimePoint now)
 {
-    // A peer knows what the version holds back; the platform does not. A joining instance hears its peers first.
+    // A peer knows what the version holds back; the platform does not. A joining instance hears its peers
+    // first.
     if (m_settings.version() == 0 && now < m_joinDeadline) {
         m_stashedText = text;
         return Offer::Stale;
@@ -297,13 +314,13 @@
     }
     // After a pause nothing is known of what happened to the owners, so all of them count as changed.
     const bool hasRejoined = m_publishedRejoin != m_members.rejoinedAt();
-    const OwnershipView before = hasRejoined ? OwnershipView {} : *m_ownership;
+    const OwnershipView before = hasRejoined ? OwnershipView{} : *m_ownership;
     m_ownership = std::make_shared<const OwnershipView>(
         *m_settings.catalogue(), m_self, m_members.eligible(), m_members.reachable(), before, now);
     m_publishedCatalogue = m_settings.catalogue();
     m_publishedView = m_members.viewNumber();
     m_publishedRejoin = m_members.rejoinedAt();
-    return RoutingSnapshot {m_publishedCatalogue, m_ownership};
+    return RoutingSnapshot{m_publishedCatalogue, m_ownership};
 }
 
 bool InstanceControl::shouldWatchPlatform() const
--- a/lib/Control/settingscontrol.cpp
+++ b/lib/Control/settingscontrol.cpp
@@ -56,9 +56,9 @@
     }
     std::vector<ControlBody> bodies;
     if (!m_shared.empty()) {
-        bodies.emplace_back(BindingBatch {version(), m_shared});
+        bodies.emplace_back(BindingBatch{version(), m_shared});
     }
-    bodies.emplace_back(Confirmation {version(), m_incarnation, m_shared.size()});
+    bodies.emplace_back(Confirmation{version(), m_incarnation, m_shared.size()});
     return bodies;
 }
 
@@ -84,7 +84,7 @@
 /// How long a flow that may not run twice can live unseen by all but an instance that is gone.
 Duration SettingsControl::retention() const
 {
-    Duration longest {};
+    Duration longest{};
     for (const Catalogue::TablePointer &table : catalogue()->tables()) {
         if (table && table->previous) {
             longest = std::max(longest, table->policy.idleTimeout);
--- a/lib/Fabric/datagramsender.cpp
+++ b/lib/Fabric/datagramsender.cpp
@@ -34,7 +34,8 @@
             position += static_cast<std::size_t>(sent);
             continue;
         }
-        // The first of the rest was refused: a full buffer, or the answer of an earlier datagram that nobody took.
+        // The first of the rest was refused: a full buffer, or the answer of an earlier datagram that nobody
+        // took.
         ++refused;
         ++position;
     }
--- a/lib/Fabric/udpsocket.cpp
+++ b/lib/Fabric/udpsocket.cpp
@@ -30,7 +30,7 @@
 
 sockaddr_in socketAddress(Endpoint endpoint)
 {
-    sockaddr_in address {};
+    sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint.port);
     address.sin_addr.s_addr = htonl(endpoint.address.value);
--- a/lib/Flow/sweep.cpp
+++ b/lib/Flow/sweep.cpp
@@ -139,7 +139,7 @@
     if (isSettled || (choice != nullptr && choice->id == entry.target)) {
         return;
     }
-    sendBinding(InstanceId {}, BindingKind::Shared, entry, flow);
+    sendBinding(InstanceId{}, BindingKind::Shared, entry, flow);
     ++m_sharedBindings;
 }
 
--- a/lib/Flow/transfer.cpp
+++ b/lib/Flow/transfer.cpp
@@ -157,7 +157,11 @@
 
 void FlowEngine::handOver(FlowEntry &entry, const FlowContext &flow, TimePoint now)
 {
-    if (flow.owner == InstanceId{} || !m_handoverBudget.take(BindingWireSize, now)) {
+    if (flow.owner == InstanceId{}) {
+        // Nobody is left to own it.
+        return;
+    }
+    if (!m_handoverBudget.take(BindingWireSize, now)) {
         ++m_pass.handoversLeft;
         return;
     }
--- a/lib/Node/metricspage.cpp
+++ b/lib/Node/metricspage.cpp
@@ -25,7 +25,8 @@
         family(name, help, prometheus::MetricType::Gauge).metric.push_back(metric);
     }
 
-    prometheus::MetricFamily &family(const std::string &name, const std::string &help, prometheus::MetricType type)
+    prometheus::MetricFamily &family(
+        const std::string &name, const std::string &help, prometheus::MetricType type)
     {
         m_families.push_back({"jasminequay_" + name, help, type, {}});
         return m_families.back();
@@ -60,12 +61,15 @@
     page.gauge("handovers_waiting", "Bindings that wait to go to their new owner.",
         static_cast<double>(traffic.waitingHandovers));
     page.counter("flows_placed_total", "New flows placed at a target.", traffic.engine.placed);
-    page.counter("flow_exceptions_total", "New flows placed where the table does not point.", traffic.engine.exceptions);
+    page.counter("flow_exceptions_total", "New flows placed where the table does not point.",
+        traffic.engine.exceptions);
     page.counter("flows_refused_total", "New flows refused.", traffic.engine.refused);
-    page.counter("packets_relayed_total", "Packets passed to the owner of their flow.", traffic.engine.relayed);
+    page.counter(
+        "packets_relayed_total", "Packets passed to the owner of their flow.", traffic.engine.relayed);
     page.counter("bindings_learned_total", "Bindings learned from answers.", traffic.engine.learned);
     page.counter("bindings_recovered_total", "Bindings learned from peers.", traffic.engine.recovered);
-    page.counter("flow_fallbacks_total", "Running flows resumed by the table alone.", traffic.engine.fallbacks);
+    page.counter(
+        "flow_fallbacks_total", "Running flows resumed by the table alone.", traffic.engine.fallbacks);
     page.counter("binding_queries_total", "Queries to peers for a binding.", traffic.engine.queries);
     page.counter("flows_evicted_total", "Entries evicted from a full table.", traffic.engine.evicted);
     prometheus::MetricFamily &drops
@@ -85,21 +89,28 @@
     page.gauge("settings_confirmed_members", "Other members that confirmed the version in force.",
         static_cast<double>(settings.confirmations().confirmedBy(control.members(), settings.version())));
     page.gauge("members", "Other members known.", static_cast<double>(members));
-    page.gauge("members_reachable", "Other members that answer.", static_cast<double>(control.members().reachable().size()));
-    page.gauge("settings_held_back", "Whether the version in force holds moved targets back.", settings.holdsBack() ? 1 : 0);
-    page.gauge("fenced", "Whether the instance is fenced after a pause.", control.members().isFenced() ? 1 : 0);
+    page.gauge("members_reachable", "Other members that answer.",
+        static_cast<double>(control.members().reachable().size()));
+    page.gauge("settings_held_back", "Whether the version in force holds moved targets back.",
+        settings.holdsBack() ? 1 : 0);
+    page.gauge(
+        "fenced", "Whether the instance is fenced after a pause.", control.members().isFenced() ? 1 : 0);
     page.counter("control_bytes_sent_total", "Bytes of control messages sent.", counters.peers.sentBytes);
-    page.counter("control_bytes_received_total", "Bytes of control messages received.", counters.peers.receivedBytes);
+    page.counter(
+        "control_bytes_received_total", "Bytes of control messages received.", counters.peers.receivedBytes);
     page.counter("control_messages_sent_total", "Control messages sent.", counters.peers.sentMessages);
-    page.counter("control_messages_unsent_total", "Control messages that could not be sent.", counters.peers.unsent);
+    page.counter(
+        "control_messages_unsent_total", "Control messages that could not be sent.", counters.peers.unsent);
     page.counter("peers_refused_total", "Connections of unknown peers refused.", counters.peers.refusedPeers);
-    page.counter("control_messages_malformed_total", "Control messages that were refused.", counters.peers.malformed);
+    page.counter(
+        "control_messages_malformed_total", "Control messages that were refused.", counters.peers.malformed);
     page.counter("platform_calls_total", "Calls to the platform.", counters.platformCalls);
     page.counter("platform_failures_total", "Calls to the platform that failed.", counters.platformFailures);
     page.counter("records_total", "Connection records written.", counters.records);
 }
 
-std::string metricsPage(const InstanceControl &control, const TrafficCounters &traffic, const ControlCounters &counters)
+std::string metricsPage(
+    const InstanceControl &control, const TrafficCounters &traffic, const ControlCounters &counters)
 {
     PageBuilder page;
     addTraffic(page, traffic);
--- a/lib/Node/nodecontrol.cpp
+++ b/lib/Node/nodecontrol.cpp
@@ -37,7 +37,8 @@
     : m_settings(settings)
     , m_treeFile(std::move(treeFile))
     , m_incarnation(static_cast<std::uint64_t>(wallMilliseconds()))
-    , m_control(settings, m_incarnation, currentTime(), hashWords(m_incarnation, instanceIdOf(settings.instance).value))
+    , m_control(settings, m_incarnation, currentTime(),
+          hashWords(m_incarnation, instanceIdOf(settings.instance).value))
     , m_link(settings)
     , m_records(settings.instance, m_incarnation)
     , m_operators(m_context, [this](const std::string &path) { return pageFor(path); })
@@ -73,7 +74,8 @@
 {
     WorkerHooks hooks;
     hooks.takeRecords = [this](std::vector<FlowRecord> records) {
-        asio::post(m_context, [this, records = std::move(records)]() mutable { writeRecords(std::move(records)); });
+        asio::post(
+            m_context, [this, records = std::move(records)]() mutable { writeRecords(std::move(records)); });
     };
     hooks.sendBindings = [this](std::vector<OutgoingBinding> bindings) {
         asio::post(m_context, [this, bindings = std::move(bindings)]() {
@@ -101,7 +103,8 @@
     readTree();
     watchPlatform();
     watchPeers();
-    m_prober = std::make_unique<TargetProber>(m_context, [this]() { return probedTargets(); }, ProbeInterval);
+    m_prober = std::make_unique<TargetProber>(
+        m_context, [this]() { return probedTargets(); }, ProbeInterval);
     m_prober->start();
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
@@ -148,7 +151,7 @@
         return;
     }
     std::ifstream file(m_treeFile);
-    const std::string text {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     if (file.bad() || text.empty()) {
         LogEvent(Severity::Warning, "tree-unreadable").with("file", m_treeFile);
         return;
@@ -164,16 +167,24 @@
         return;
     }
     PlatformWatchHooks settingsHooks;
-    settingsHooks.shouldWatch = [this]() { return m_control.shouldWatchPlatform(); };
-    settingsHooks.version = [this]() { return m_control.settings().version(); };
-    settingsHooks.health = [this](bool isFailing) { m_control.onPlatformHealth(isFailing); };
+    settingsHooks.shouldWatch = [this]() {
+        return m_control.shouldWatchPlatform();
+    };
+    settingsHooks.version = [this]() {
+        return m_control.settings().version();
+    };
+    settingsHooks.health = [this](bool isFailing) {
+        m_control.onPlatformHealth(isFailing);
+    };
     settingsHooks.take = [this](const std::string &text) {
         const TimePoint now = currentTime();
         m_control.onSettings(text, now);
         publish(now);
     };
     PlatformWatchHooks instancesHooks = settingsHooks;
-    instancesHooks.version = [this]() { return m_listVersion; };
+    instancesHooks.version = [this]() {
+        return m_listVersion;
+    };
     instancesHooks.take = [this](const std::string &text) {
         withFailure(
             [&]() -> Result<void> {
@@ -293,7 +304,9 @@
 void NodeControl::writeRecords(std::vector<FlowRecord> records)
 {
     withFailure([&]() { return m_records.write(records, wallMilliseconds()); },
-        [](const Failure &failure) { LogEvent(Severity::Error, "records-lost").with("reason", describe(failure)); });
+        [](const Failure &failure) {
+            LogEvent(Severity::Error, "records-lost").with("reason", describe(failure));
+        });
 }
 
 void NodeControl::waitForSignal()
@@ -362,7 +375,9 @@
     // The last records of the traffic threads are already posted; the stop record follows them.
     asio::post(m_context, [this]() {
         withFailure([this]() { return m_records.close(wallMilliseconds()); },
-            [](const Failure &failure) { LogEvent(Severity::Error, "records-lost").with("reason", describe(failure)); });
+            [](const Failure &failure) {
+                LogEvent(Severity::Error, "records-lost").with("reason", describe(failure));
+            });
         LogEvent(Severity::Info, "instance-stopped").with("flows", traffic().flows);
         m_context.stop();
     });
@@ -383,7 +398,7 @@
         return {200, "ok\n"};
     }
     if (path == "/readyz") {
-        return m_control.isReady() ? OperatorPage {200, "ready\n"} : OperatorPage {503, "not ready\n"};
+        return m_control.isReady() ? OperatorPage{200, "ready\n"} : OperatorPage{503, "not ready\n"};
     }
     if (path == "/metrics") {
         ControlCounters counters;
@@ -406,7 +421,7 @@
             continue;
         }
         for (const TargetEntry &target : table->targets) {
-            const Endpoint endpoint {
+            const Endpoint endpoint{
                 target.settings.address.address, static_cast<std::uint16_t>(table->policy.reportPort)};
             targets.push_back({endpoint, [load = target.load](const LoadReport &report) {
                                    load->report(report.outstanding, report.isShedding, currentTime());
--- a/lib/Node/nodecontrol.h
+++ b/lib/Node/nodecontrol.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "jasminequay/Control/instancecontrol.h"
+#include "jasminequay/Fabric/steering.h"
 #include "jasminequay/Node/metricspage.h"
 #include "jasminequay/Node/node.h"
-#include "jasminequay/Fabric/steering.h"
 #include "jasminequay/Node/trafficworker.h"
 #include "jasminequay/Platform/operatorserver.h"
 #include "jasminequay/Platform/platformwatch.h"
@@ -64,13 +64,13 @@
     InstanceSettings m_settings;
     std::string m_treeFile;
     std::uint64_t m_incarnation;
-    boost::asio::io_context m_context {1};
+    boost::asio::io_context m_context{1};
     InstanceControl m_control;
     PeerLink m_link;
     RecordWriter m_records;
     TimerService m_timers;
-    boost::asio::steady_timer m_timer {m_context};
-    boost::asio::signal_set m_signals {m_context};
+    boost::asio::steady_timer m_timer{m_context};
+    boost::asio::signal_set m_signals{m_context};
     OperatorServer m_operators;
     std::unique_ptr<PlatformWatch> m_settingsWatch;
     std::unique_ptr<PlatformWatch> m_instancesWatch;
--- a/lib/Node/packetpath.cpp
+++ b/lib/Node/packetpath.cpp
@@ -81,7 +81,7 @@
 
 void PacketPath::refuse(const PacketView &packet)
 {
-    std::array<std::uint8_t, MaximumRefusalSize> buffer {};
+    std::array<std::uint8_t, MaximumRefusalSize> buffer{};
     const std::size_t size = buildRefusal(packet, buffer);
     m_buffers.emplace_back(buffer.begin(), buffer.begin() + size);
     if (size > 0) {
@@ -148,7 +148,8 @@
             forControl.push_back(outgoing);
             continue;
         }
-        sendToPeer({m_channel.self(), outgoing.message}, outgoing.to, steeringOf(outgoing.message.flow.caller));
+        sendToPeer(
+            {m_channel.self(), outgoing.message}, outgoing.to, steeringOf(outgoing.message.flow.caller));
     }
 }
 
--- a/lib/Node/trafficworker.cpp
+++ b/lib/Node/trafficworker.cpp
@@ -111,25 +111,26 @@
 
 void TrafficWorker::waitFor(Descriptor &descriptor, UdpSocket &socket, BatchHandler handler)
 {
-    descriptor.async_wait(Descriptor::wait_read, [this, &descriptor, &socket, handler](boost::system::error_code error) {
-        if (error) {
-            return;
-        }
-        for (int batch = 0; batch < BatchesInARow; ++batch) {
-            const std::size_t count = m_batch.receive(socket);
-            if (count == 0) {
-                break;
+    descriptor.async_wait(
+        Descriptor::wait_read, [this, &descriptor, &socket, handler](boost::system::error_code error) {
+            if (error) {
+                return;
             }
-            const TimePoint now = currentTime();
-            m_engine.extendLease(TimePoint(Duration(m_leaseUntil.load(std::memory_order_relaxed))));
-            (this->*handler)(count, now);
-            finishBatch(SweptSlotsPerBatch, now);
-            if (count < BatchSize) {
-                break;
+            for (int batch = 0; batch < BatchesInARow; ++batch) {
+                const std::size_t count = m_batch.receive(socket);
+                if (count == 0) {
+                    break;
+                }
+                const TimePoint now = currentTime();
+                m_engine.extendLease(TimePoint(Duration(m_leaseUntil.load(std::memory_order_relaxed))));
+                (this->*handler)(count, now);
+                finishBatch(SweptSlotsPerBatch, now);
+                if (count < BatchSize) {
+                    break;
+                }
             }
-        }
-        waitFor(descriptor, socket, handler);
-    });
+            waitFor(descriptor, socket, handler);
+        });
 }
 
 void TrafficWorker::onCallerBatch(std::size_t count, TimePoint now)
--- a/lib/Peer/controlmessage.cpp
+++ b/lib/Peer/controlmessage.cpp
@@ -112,7 +112,7 @@
     if (!text) {
         return std::nullopt;
     }
-    SettingsReply reply {body.version(), std::move(*text), {}};
+    SettingsReply reply{body.version(), std::move(*text), {}};
     for (const wire::WireHeldEndpoint &held : body.held_endpoints()) {
         const bool isTcp = held.protocol() == static_cast<std::uint32_t>(Protocol::Tcp);
         reply.held.endpoints.emplace(fromWire(held.endpoint()), isTcp ? Protocol::Tcp : Protocol::Udp);
--- a/lib/Placement/cataloguebuilder.cpp
+++ b/lib/Placement/cataloguebuilder.cpp
@@ -170,7 +170,8 @@
             target.isQuarantined = held.endpoints.contains({target.settings.address, table->protocol});
         }
         if (held.services.contains(table->name)) {
-            // The table before is unknown here. One without targets agrees with nothing, so that every new flow waits.
+            // The table before is unknown here. One without targets agrees with nothing, so that every new
+            // flow waits.
             auto unknown = std::make_shared<ServiceTable>(*table);
             unknown->targets.clear();
             marked->previous = std::move(unknown);
--- a/lib/Platform/httpexchange.cpp
+++ b/lib/Platform/httpexchange.cpp
@@ -22,7 +22,7 @@
     const asio::ip::tcp::endpoint address(asio::ip::address_v4(server.address.value), server.port);
     const auto failed = [&](const beast::error_code &error) {
         HttpAnswer answer;
-        answer.failure = Failure {step, format(server) + path, error.message()};
+        answer.failure = Failure{step, format(server) + path, error.message()};
         return answer;
     };
     stream.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(limits.timeout));
--- a/lib/Platform/instancelistparser.cpp
+++ b/lib/Platform/instancelistparser.cpp
@@ -20,7 +20,7 @@
     }
     const std::optional<Endpoint> peerData = parseEndpoint(textOf(node, "peer-data"));
     const std::optional<Endpoint> peerControl = parseEndpoint(textOf(node, "peer-control"));
-    ListedInstance instance {textOf(node, "instance"), textOf(node, "data-centre"), {}, {}, false};
+    ListedInstance instance{textOf(node, "instance"), textOf(node, "data-centre"), {}, {}, false};
     const std::string state = textOf(node, "state");
     const bool isWhole = peerData && peerControl && !instance.name.empty() && !instance.dataCentre.empty()
         && (state == "live" || state == "leaving");
--- a/lib/Platform/platformwatch.cpp
+++ b/lib/Platform/platformwatch.cpp
@@ -22,8 +22,8 @@
 constexpr unsigned NoNewerValue = 204;
 constexpr unsigned NewerValue = 200;
 
-PlatformWatch::PlatformWatch(asio::io_context &context, Endpoint platform, PlatformValue value, PlatformWatchHooks hooks,
-    std::uint64_t seed)
+PlatformWatch::PlatformWatch(asio::io_context &context, Endpoint platform, PlatformValue value,
+    PlatformWatchHooks hooks, std::uint64_t seed)
     : m_context(context)
     , m_platform(platform)
     , m_value(value)
@@ -47,7 +47,8 @@
 
 asio::awaitable<void> PlatformWatch::pause(Duration duration)
 {
-    asio::steady_timer timer(m_context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration));
+    asio::steady_timer timer(
+        m_context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration));
     co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -57,9 +58,11 @@
     const bool isSound = !answer.failure && (answer.status == NewerValue || answer.status == NoNewerValue);
     if (!isSound) {
         ++m_failures;
-        const std::string reason
-            = answer.failure ? describe(*answer.failure) : "unexpected status " + std::to_string(answer.status);
-        LogEvent(Severity::Warning, "platform-failed").with("platform", format(m_platform)).with("reason", reason);
+        const std::string reason = answer.failure ? describe(*answer.failure)
+                                                  : "unexpected status " + std::to_string(answer.status);
+        LogEvent(Severity::Warning, "platform-failed")
+            .with("platform", format(m_platform))
+            .with("reason", reason);
     }
     m_hooks.health(!isSound);
     return isSound;
--- a/lib/Platform/targetprober.cpp
+++ b/lib/Platform/targetprober.cpp
@@ -31,7 +31,8 @@
 {
     const HttpAnswer answer
         = co_await httpGet(target.loadEndpoint, "/load", {ProbeTimeout, ReportSize}, Step::ReadPlatform);
-    const std::optional<LoadReport> report = answer.status == 200 ? parseLoadReport(answer.body) : std::nullopt;
+    const std::optional<LoadReport> report
+        = answer.status == 200 ? parseLoadReport(answer.body) : std::nullopt;
     if (report) {
         target.take(*report);
     }
--- a/lib/Record/burn.cpp
+++ b/lib/Record/burn.cpp
@@ -8,8 +8,8 @@
 namespace jasminequay
 {
 
-static constexpr EnumNames<Objective, 3> ObjectiveNames {
-    {{Objective::Whole, "whole-answer"}, {Objective::Refused, "refused"}, {Objective::FirstPacket, "first-packet"}}};
+static constexpr EnumNames<Objective, 3> ObjectiveNames{{{Objective::Whole, "whole-answer"},
+    {Objective::Refused, "refused"}, {Objective::FirstPacket, "first-packet"}}};
 
 /// The share of answers that may begin late; the objective itself is a time.
 constexpr double AllowedLate = 0.01;
@@ -43,8 +43,9 @@
     case Objective::Refused:
         return isEnd ? std::optional(flow.cause == EndCause::Refused) : std::nullopt;
     case Objective::FirstPacket:
-        return isEnd && flow.firstAnswer.count() > 0 ? std::optional(flow.firstAnswer > policy.objectiveFirstPacket)
-                                                     : std::nullopt;
+        return isEnd && flow.firstAnswer.count() > 0
+            ? std::optional(flow.firstAnswer > policy.objectiveFirstPacket)
+            : std::nullopt;
     }
     return std::nullopt;
 }
--- a/lib/Record/connectionrecord.cpp
+++ b/lib/Record/connectionrecord.cpp
@@ -10,7 +10,7 @@
 namespace jasminequay
 {
 
-static constexpr EnumNames<RecordKind, 3> RecordKindNames {
+static constexpr EnumNames<RecordKind, 3> RecordKindNames{
     {{RecordKind::Start, "start"}, {RecordKind::Flow, "flow"}, {RecordKind::Stop, "stop"}}};
 
 using Fields = std::map<std::string, std::string, std::less<>>;
@@ -52,10 +52,10 @@
     addField(line, "target", format(flow.target));
     addField(line, "cause", endCauseName(flow.cause));
     addField(line, "owner", flow.isOwner ? "true" : "false");
-    addField(line, "bytes-up", std::uint64_t {flow.bytesUp});
-    addField(line, "bytes-down", std::uint64_t {flow.bytesDown});
-    addField(line, "packets-up", std::uint64_t {flow.packetsUp});
-    addField(line, "packets-down", std::uint64_t {flow.packetsDown});
+    addField(line, "bytes-up", std::uint64_t{flow.bytesUp});
+    addField(line, "bytes-down", std::uint64_t{flow.bytesDown});
+    addField(line, "packets-up", std::uint64_t{flow.packetsUp});
+    addField(line, "packets-down", std::uint64_t{flow.packetsDown});
     addField(line, "first-answer-us", static_cast<std::uint64_t>(flow.firstAnswer.count() / 1000));
     return line;
 }
@@ -105,7 +105,7 @@
     {
     }
 
-    template<typename Value, typename Parser> void read(std::string_view key, Parser parser, Value &value)
+    template <typename Value, typename Parser> void read(std::string_view key, Parser parser, Value &value)
     {
         const auto found = m_fields.find(key);
         if (found == m_fields.end()) {
@@ -147,7 +147,7 @@
 /// A refused flow has no target: its address prints as zeros.
 static std::optional<Endpoint> parseTarget(std::string_view text)
 {
-    return text == "0.0.0.0:0" ? std::optional(Endpoint {}) : parseEndpoint(text);
+    return text == "0.0.0.0:0" ? std::optional(Endpoint{}) : parseEndpoint(text);
 }
 
 static std::optional<bool> parseBoolean(std::string_view text)
@@ -187,7 +187,8 @@
     }
     ConnectionRecord record;
     FieldReader reader(fields, reason);
-    reader.read("record", [](std::string_view name) { return valueIn(RecordKindNames, name); }, record.kind);
+    reader.read(
+        "record", [](std::string_view name) { return valueIn(RecordKindNames, name); }, record.kind);
     reader.read("instance", parseText, record.instance);
     reader.read("incarnation", parseNumber, record.incarnation);
     reader.read("sequence", parseNumber, record.sequence);
--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -61,13 +61,22 @@
             local state=live
             case " $2 " in *" $name "*) state=leaving ;; esac
             echo "  - {instance: $name, data-centre: dk-east-1, state: $state, peer-data: 127.0.0.1:$(port "$name" 2)," \
-                "peer-control: 127.0.0.1:$(port "$name" 3), caller-side: 127.0.0.1:$(port "$name" 0)," \
-                "target-side: 127.0.0.1:$(port "$name" 1)}"
+                "peer-control: 127.0.0.1:$(port "$name" 3)}"
         done
     } >"$work/instances.new"
     mv "$work/instances.new" "$work/instances.yaml"
 }
 
+write_fabric() { # write_fabric NAMES: the instances that get packets
+    {
+        echo "instances:"
+        for name in $1; do
+            echo "  - {caller-side: 127.0.0.1:$(port "$name" 0), target-side: 127.0.0.1:$(port "$name" 1)}"
+        done
+    } >"$work/fabric.new"
+    mv "$work/fabric.new" "$work/fabric.yaml"
+}
+
 write_tree() { # write_tree VERSION STATE-OF-THE-DRAINED-TARGET
     sed -e "s/^version: .*/version: $1/" -e "s/{address: 10.2.0.1:8443}/{address: 10.2.0.1:8443, state: $2}/" \
         docs/examples/demo.yaml >"$work/tree.new"
@@ -89,14 +98,15 @@
 }
 
 for name in "${names[@]}"; do write_instance "$name"; done
-write_list "" ""
+write_list "fk-1 fk-2 fk-3" ""
+write_fabric ""
 write_tree 1 serving
 build/test/standins/standins --caller-fabric 127.0.0.1:17001 --target-fabric 127.0.0.1:17002 --platform 127.0.0.1:17003 \
-    --settings "$work/tree.yaml" --instances "$work/instances.yaml" --calls "${CALLS:-600}" --interval 40 &
+    --settings "$work/tree.yaml" --instances "$work/instances.yaml" --fabric "$work/fabric.yaml" --calls "${CALLS:-600}" --interval 40 &
 standins=$!
 for name in fk-1 fk-2 fk-3; do start "$name"; done
 for name in fk-1 fk-2 fk-3; do wait_ready "$name"; done
-write_list "fk-1 fk-2 fk-3" ""
+write_fabric "fk-1 fk-2 fk-3"
 echo "three instances serve; callers arrive"
 sleep 5
 
@@ -105,11 +115,16 @@
     old=fk-$number
     new=fk-$((number + 3))
     echo "replacing $old by $new"
+    write_list "$live $new" ""
     start "$new"
     wait_ready "$new"
     live="${live/$old/$new}"
+    # The list and the fabric follow late, as they do in life.
+    write_fabric "$live $old"
     write_list "$live" "$old"
     kill -TERM "${pids[$old]}"
+    sleep 0.5
+    write_fabric "$live"
     if [ "$number" = 2 ]; then
         echo "draining target 10.2.0.1:8443"
         write_tree 2 draining
--- a/test/standins/fabricloop.cpp
+++ b/test/standins/fabricloop.cpp
@@ -8,11 +8,13 @@
 {
 
 FabricLoop::FabricLoop(boost::asio::io_context &context, Endpoint callerSide, Endpoint targetSide,
-    std::string instancesFile, std::uint64_t seed)
-    : m_file(std::move(instancesFile))
+    std::string file, std::uint64_t seed)
+    : m_file(std::move(file))
     , m_random(seed)
-    , m_callerListener(context, callerSide, [this](std::span<std::uint8_t> bytes) { take(bytes, m_toCaller); })
-    , m_targetListener(context, targetSide, [this](std::span<std::uint8_t> bytes) { take(bytes, m_toTarget); })
+    , m_callerListener(
+          context, callerSide, [this](std::span<std::uint8_t> bytes) { take(bytes, m_toCaller); })
+    , m_targetListener(
+          context, targetSide, [this](std::span<std::uint8_t> bytes) { take(bytes, m_toTarget); })
 {
     reload();
 }
@@ -26,7 +28,8 @@
 void FabricLoop::take(std::span<std::uint8_t> bytes, const Deliver &deliver)
 {
     const ParsedPacket parsed = parsePacket(bytes);
-    if (parsed.cause != DropCause::None || (!parsed.packet.isIcmpError() && !hasValidChecksum(parsed.packet))) {
+    if (parsed.cause != DropCause::None
+        || (!parsed.packet.isIcmpError() && !hasValidChecksum(parsed.packet))) {
         ++m_badChecksums;
         return;
     }
@@ -65,8 +68,8 @@
         for (const YAML::Node &node : YAML::LoadFile(m_file)["instances"]) {
             const std::optional<Endpoint> callerSide = parseEndpoint(node["caller-side"].as<std::string>());
             const std::optional<Endpoint> targetSide = parseEndpoint(node["target-side"].as<std::string>());
-            if (callerSide && targetSide && node["state"].as<std::string>() == "live") {
-                instances.push_back({node["instance"].as<std::string>(), *callerSide, *targetSide});
+            if (callerSide && targetSide) {
+                instances.push_back({*callerSide, *targetSide});
             }
         }
         m_instances = std::move(instances);
--- a/test/standins/fabricloop.h
+++ b/test/standins/fabricloop.h
@@ -1,4 +1,5 @@
-// The fabric: hands each packet of callers and targets to an instance picked at random, and brings back what they send.
+// The fabric: hands each packet of callers and targets to an instance picked at random, and brings back what
+// they send.
 #pragma once
 
 #include "listener.h"
@@ -14,7 +15,6 @@
 
 /// Where an instance takes packets.
 struct FabricInstance {
-    std::string name;
     Endpoint callerSide;
     Endpoint targetSide;
 };
@@ -25,7 +25,7 @@
 public:
     using Deliver = std::function<void(const PacketView &)>;
 
-    FabricLoop(boost::asio::io_context &context, Endpoint callerSide, Endpoint targetSide, std::string instancesFile,
+    FabricLoop(boost::asio::io_context &context, Endpoint callerSide, Endpoint targetSide, std::string file,
         std::uint64_t seed);
 
     /// Sets who takes the packets that instances send to callers and to targets.
@@ -37,7 +37,7 @@
     /// Sends a packet of a target to some instance.
     void fromTarget(const Bytes &packet);
 
-    /// Reads the list of instances again. Leaving ones get no more packets.
+    /// Reads the file again.
     void reload();
 
     [[nodiscard]] std::uint64_t badChecksums() const
--- a/test/standins/packetfactory.cpp
+++ b/test/standins/packetfactory.cpp
@@ -29,13 +29,15 @@
 static std::uint16_t transportChecksum(std::span<const std::uint8_t> bytes)
 {
     const std::span<const std::uint8_t> transport = bytes.subspan(Ipv4Size);
-    const std::uint32_t sum = addWords(0, bytes.subspan(12, 8)) + bytes[9] + static_cast<std::uint32_t>(transport.size());
+    const std::uint32_t sum
+        = addWords(0, bytes.subspan(12, 8)) + bytes[9] + static_cast<std::uint32_t>(transport.size());
     return foldChecksum(addWords(sum, transport));
 }
 
 Bytes makeTcp(const Segment &segment)
 {
-    Bytes bytes = makeIpv4(segment.source, segment.destination, Protocol::Tcp, TcpSize + segment.payload.size());
+    Bytes bytes
+        = makeIpv4(segment.source, segment.destination, Protocol::Tcp, TcpSize + segment.payload.size());
     const std::span<std::uint8_t> tcp = std::span(bytes).subspan(Ipv4Size);
     storeLong(tcp, 4, segment.sequence);
     storeLong(tcp, 8, segment.acknowledgement);
@@ -63,7 +65,8 @@
 {
     const std::span<const std::uint8_t> tcp = packet.bytes.subspan(packet.transportOffset);
     const std::size_t header = static_cast<std::size_t>(tcp[12] >> 4) * 4;
-    return {packet.source, packet.destination, loadLong(tcp, 4), loadLong(tcp, 8), packet.flags, tcp.subspan(header)};
+    return {packet.source, packet.destination, loadLong(tcp, 4), loadLong(tcp, 8), packet.flags,
+        tcp.subspan(header)};
 }
 
 std::span<const std::uint8_t> udpPayload(const PacketView &packet)
--- a/test/standins/platformserver.cpp
+++ b/test/standins/platformserver.cpp
@@ -82,7 +82,7 @@
     const std::string target(request.target());
     const std::string &file = target.starts_with("/v1/settings") ? m_settingsFile : m_instancesFile;
     const std::uint64_t above = parseNumber(parameter(target, "above")).value_or(0);
-    const Duration wait = parseDuration(parameter(target, "wait")).value_or(Duration {});
+    const Duration wait = parseDuration(parameter(target, "wait")).value_or(Duration{});
     const auto deadline = std::chrono::steady_clock::now() + wait;
     std::string text = contentOf(file);
     asio::steady_timer timer(m_context);
--- a/test/standins/platformserver.h
+++ b/test/standins/platformserver.h
@@ -1,4 +1,5 @@
-// A platform that publishes two files: a settings value and the list of instances, each by read and by waiting watch.
+// A platform that publishes two files: a settings value and the list of instances, each by read and by
+// waiting watch.
 #pragma once
 
 #include "jasminequay/Packet/endpoint.h"
@@ -17,8 +18,8 @@
 class PlatformServer
 {
 public:
-    PlatformServer(
-        boost::asio::io_context &context, Endpoint address, std::string settingsFile, std::string instancesFile);
+    PlatformServer(boost::asio::io_context &context, Endpoint address, std::string settingsFile,
+        std::string instancesFile);
 
     [[nodiscard]] std::uint64_t calls() const
     {
--- a/test/standins/scenario.cpp
+++ b/test/standins/scenario.cpp
@@ -47,9 +47,11 @@
     request.number = number + 1;
     request.answerSize = isLong ? m_plan.longBytes : m_plan.shortBytes;
     request.paceBytes = isLong ? m_plan.paceBytes : 0;
-    const Endpoint self {{FirstCallerAddress + number / 20000}, static_cast<std::uint16_t>(FirstCallerPort + number % 20000)};
+    const Endpoint self{
+        {FirstCallerAddress + number / 20000}, static_cast<std::uint16_t>(FirstCallerPort + number % 20000)};
     m_callers.emplace(self,
-        std::make_unique<TcpCaller>(self, m_configuration.services[serviceNumber].address, request,
+        std::make_unique<TcpCaller>(
+            self, m_configuration.services[serviceNumber].address, request,
             [this](const Bytes &packet) { m_fabric.fromCaller(packet); }, now));
 }
 
@@ -88,8 +90,9 @@
 
 bool Scenario::hasEnded() const
 {
-    return m_started == m_plan.calls
-        && std::all_of(m_callers.begin(), m_callers.end(), [](const auto &item) { return item.second->hasEnded(); });
+    return m_started == m_plan.calls && std::all_of(m_callers.begin(), m_callers.end(), [](const auto &item) {
+        return item.second->hasEnded();
+    });
 }
 
 std::uint64_t Scenario::openedAt(Endpoint target) const
@@ -120,8 +123,8 @@
         counts.unanswered += caller->state() == CallState::Unanswered ? 1 : 0;
     }
     counts.wrongService = m_ledger.wrongService;
-    counts.runTwice = static_cast<std::uint64_t>(
-        std::count_if(m_ledger.runs.begin(), m_ledger.runs.end(), [](const auto &item) { return item.second > 1; }));
+    counts.runTwice = static_cast<std::uint64_t>(std::count_if(
+        m_ledger.runs.begin(), m_ledger.runs.end(), [](const auto &item) { return item.second > 1; }));
     counts.imbalance = m_imbalanceSamples == 0 ? 1 : m_imbalanceSum / static_cast<double>(m_imbalanceSamples);
     return counts;
 }
--- a/test/standins/tcptarget.cpp
+++ b/test/standins/tcptarget.cpp
@@ -19,7 +19,8 @@
 {
 }
 
-void TcpTarget::transmit(Endpoint caller, const Flow &flow, TcpFlags flags, std::uint32_t offset, std::uint32_t size)
+void TcpTarget::transmit(
+    Endpoint caller, const Flow &flow, TcpFlags flags, std::uint32_t offset, std::uint32_t size)
 {
     Bytes payload(size);
     for (std::uint32_t index = 0; index < size; ++index) {
@@ -41,7 +42,8 @@
     if (found == m_flows.end()) {
         if (!segment.flags.rst && !segment.flags.fin) {
             ++m_ledger.unknownFlows;
-            m_send(makeTcp({m_self, segment.source, segment.acknowledgement, 0, {false, false, false, true}, {}}));
+            m_send(makeTcp(
+                {m_self, segment.source, segment.acknowledgement, 0, {false, false, false, true}, {}}));
         }
         return;
     }
@@ -71,7 +73,7 @@
 {
     const bool isRepeated = flow.callerSequence == segment.sequence && flow.ownSequence != 0;
     if (!isRepeated) {
-        flow = Flow {};
+        flow = Flow{};
         flow.callerSequence = segment.sequence;
         flow.ownSequence = segment.sequence * 31 + m_self.address.value + 1;
         flow.paceAt = now;
--- a/test/standins/tcptarget.h
+++ b/test/standins/tcptarget.h
@@ -63,7 +63,8 @@
     void open(Flow &flow, const Segment &segment, TimePoint now);
     void takeRequest(Flow &flow, const Segment &segment, TimePoint now);
     void advance(Endpoint caller, Flow &flow, TimePoint now);
-    void transmit(Endpoint caller, const Flow &flow, TcpFlags flags, std::uint32_t offset, std::uint32_t size);
+    void transmit(
+        Endpoint caller, const Flow &flow, TcpFlags flags, std::uint32_t offset, std::uint32_t size);
 
     Endpoint m_self;
     std::uint32_t m_service;
--- a/test/standins/udpbridge.cpp
+++ b/test/standins/udpbridge.cpp
@@ -18,9 +18,10 @@
 {
     Target &entry = m_targets[target];
     entry.server = server;
-    entry.listener = std::make_unique<Listener>(m_context, local, [this, target, &entry](std::span<std::uint8_t> bytes) {
-        m_fabric.fromTarget(makeUdp(target, entry.caller, bytes));
-    });
+    entry.listener
+        = std::make_unique<Listener>(m_context, local, [this, target, &entry](std::span<std::uint8_t> bytes) {
+              m_fabric.fromTarget(makeUdp(target, entry.caller, bytes));
+          });
 }
 
 void UdpBridge::toCaller(const PacketView &packet)
--- a/test/standins/udpbridge.h
+++ b/test/standins/udpbridge.h
@@ -1,4 +1,5 @@
-// Lets ordinary UDP programs on loopback use a service: wraps their datagrams into packets and unwraps the answers.
+// Lets ordinary UDP programs on loopback use a service: wraps their datagrams into packets and unwraps the
+// answers.
 #pragma once
 
 #include "fabricloop.h"
@@ -14,7 +15,8 @@
 {
 public:
     /// `entry` is where the client sends to; `caller` is the address that it gets inside.
-    UdpBridge(boost::asio::io_context &context, FabricLoop &fabric, Endpoint entry, Endpoint caller, Endpoint service);
+    UdpBridge(boost::asio::io_context &context, FabricLoop &fabric, Endpoint entry, Endpoint caller,
+        Endpoint service);
 
     /// Adds a target: packets to `target` go as datagrams to `server`, from a socket at `local`.
     void addTarget(Endpoint target, Endpoint server, Endpoint local);
--- a/tools/jasminequay/checkcommand.cpp
+++ b/tools/jasminequay/checkcommand.cpp
@@ -14,8 +14,8 @@
     if (printMistakes(tree.mistakes, path)) {
         return false;
     }
-    std::cout << path << ": version " << tree.configuration.version << ", " << tree.configuration.services.size()
-              << " services, no mistakes\n";
+    std::cout << path << ": version " << tree.configuration.version << ", "
+              << tree.configuration.services.size() << " services, no mistakes\n";
     return true;
 }
 
@@ -32,7 +32,8 @@
 
 ExitCode runCheck(int argumentCount, char **arguments)
 {
-    cxxopts::Options options("jasminequay check", "Reports every mistake of a tree or of instance settings at once");
+    cxxopts::Options options(
+        "jasminequay check", "Reports every mistake of a tree or of instance settings at once");
     options.add_options()("tree", "the tree of services", cxxopts::value<std::string>())(
         "settings", "the settings of an instance", cxxopts::value<std::string>());
     ExitCode exit = ExitCode::Success;
--- a/tools/jasminequay/commandline.cpp
+++ b/tools/jasminequay/commandline.cpp
@@ -7,8 +7,8 @@
 namespace jasminequay
 {
 
-std::optional<cxxopts::ParseResult> parseOptions(
-    cxxopts::Options &options, int argumentCount, char **arguments, const std::string &example, ExitCode &exit)
+std::optional<cxxopts::ParseResult> parseOptions(cxxopts::Options &options, int argumentCount,
+    char **arguments, const std::string &example, ExitCode &exit)
 {
     options.add_options()("help", "print this help");
     try {
@@ -31,7 +31,7 @@
     if (!file) {
         return fail(Step::ReadSettings, path, systemMessage());
     }
-    return std::string {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    return std::string{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
 bool printMistakes(const Mistakes &mistakes, const std::string &file)
--- a/tools/jasminequay/commandline.h
+++ b/tools/jasminequay/commandline.h
@@ -13,10 +13,10 @@
 namespace jasminequay
 {
 
-/// Parses the options of a subcommand. On a mistake, or when help is asked for, prints and returns nothing; `exit` then
-/// holds the exit code.
-std::optional<cxxopts::ParseResult> parseOptions(
-    cxxopts::Options &options, int argumentCount, char **arguments, const std::string &example, ExitCode &exit);
+/// Parses the options of a subcommand. On a mistake, or when help is asked for, prints and returns nothing;
+/// `exit` then holds the exit code.
+std::optional<cxxopts::ParseResult> parseOptions(cxxopts::Options &options, int argumentCount,
+    char **arguments, const std::string &example, ExitCode &exit);
 
 /// Reads a whole file.
 Result<std::string> readFile(const std::string &path);
--- a/tools/jasminequay/explaincommand.cpp
+++ b/tools/jasminequay/explaincommand.cpp
@@ -26,7 +26,7 @@
     if (!caller || !service || !protocol) {
         return std::nullopt;
     }
-    return FlowName {*caller, *service, *protocol};
+    return FlowName{*caller, *service, *protocol};
 }
 
 static void printSettings(const ServicePolicy &policy)
@@ -66,15 +66,18 @@
     };
     std::sort(order.begin(), order.end(),
         [&](const TargetEntry *left, const TargetEntry *right) { return score(left) > score(right); });
-    std::cout << "targets in the order of this flow (placement " << placementPolicyName(table.policy.placement) << "):\n";
+    std::cout << "targets in the order of this flow (placement "
+              << placementPolicyName(table.policy.placement) << "):\n";
     for (const TargetEntry *const target : order) {
         std::cout << "  " << format(target->settings.address) << " weight " << target->settings.weight << ", "
                   << whyNot(target->settings) << '\n';
     }
-    const TargetEntry *const choice = table.policy.repeatable ? selectTarget(table, flowHash, TimePoint {})
+    const TargetEntry *const choice = table.policy.repeatable ? selectTarget(table, flowHash, TimePoint{})
                                                               : table.settledChoice(flowHash);
     std::cout << "with no other flow it goes to "
-              << (choice == nullptr ? std::string("no target: it is refused") : format(choice->settings.address)) << '\n';
+              << (choice == nullptr ? std::string("no target: it is refused")
+                                    : format(choice->settings.address))
+              << '\n';
     if (!table.policy.repeatable) {
         std::cout << "its requests may not run twice: the target depends on the settings alone\n";
     }
@@ -95,14 +98,15 @@
               << configuration.group << ", settings version " << configuration.version << '\n';
     printSettings(found->policy);
     CatalogueBuilder builder(found->dataCentre);
-    const std::shared_ptr<const Catalogue> catalogue = builder.apply(configuration, TimePoint {});
+    const std::shared_ptr<const Catalogue> catalogue = builder.apply(configuration, TimePoint{});
     printTargets(*catalogue->serviceAt(flow.service, flow.protocol), flow.hash());
     return ExitCode::Success;
 }
 
 ExitCode runExplain(int argumentCount, char **arguments)
 {
-    cxxopts::Options options("jasminequay explain", "Says which service, settings and targets a flow gets, and why");
+    cxxopts::Options options(
+        "jasminequay explain", "Says which service, settings and targets a flow gets, and why");
     options.add_options()("tree", "the tree of services", cxxopts::value<std::string>())(
         "flow", "SRC:PORT,DST:PORT,tcp|udp", cxxopts::value<std::vector<std::string>>());
     ExitCode exit = ExitCode::Success;
@@ -128,7 +132,8 @@
         [&]() -> Result<ExitCode> {
             BOOST_LEAF_AUTO(content, readFile(path));
             const ParsedTree tree = parseTree(content);
-            return printMistakes(tree.mistakes, path) ? ExitCode::Mistakes : explain(tree.configuration, *flow);
+            return printMistakes(tree.mistakes, path) ? ExitCode::Mistakes
+                                                      : explain(tree.configuration, *flow);
         },
         [](const Failure &failure) {
             std::cerr << "jasminequay: " << describe(failure) << '\n';
--- a/tools/jasminequay/keyscommand.cpp
+++ b/tools/jasminequay/keyscommand.cpp
@@ -8,7 +8,8 @@
 
 ExitCode runMakeKeys(int argumentCount, char **arguments)
 {
-    cxxopts::Options options("jasminequay make-keys", "Makes the keys of one instance and a data key for all of them");
+    cxxopts::Options options(
+        "jasminequay make-keys", "Makes the keys of one instance and a data key for all of them");
     ExitCode exit = ExitCode::Success;
     if (!parseOptions(options, argumentCount, arguments, "jasminequay make-keys", exit)) {
         return exit;
@@ -16,8 +17,8 @@
     return withFailure(
         []() -> Result<ExitCode> {
             BOOST_LEAF_AUTO(keys, makeKeyPair());
-            std::cout << "public-key: '" << keys.publicKey << "'\nsecret-key: '" << keys.secretKey << "'\ndata-key: '"
-                      << makeDataKey() << "'\n";
+            std::cout << "public-key: '" << keys.publicKey << "'\nsecret-key: '" << keys.secretKey
+                      << "'\ndata-key: '" << makeDataKey() << "'\n";
             return ExitCode::Success;
         },
         [](const Failure &failure) {
--- a/tools/jasminequay/main.cpp
+++ b/tools/jasminequay/main.cpp
@@ -15,14 +15,17 @@
     jasminequay::ExitCode (*run)(int argumentCount, char **arguments);
 };
 
-constexpr std::array<Subcommand, 5> Subcommands {{
+constexpr std::array<Subcommand, 5> Subcommands{{
     {"serve", "run one instance", "jasminequay serve --settings instance.yaml", jasminequay::runServe},
-    {"check", "check a tree or instance settings", "jasminequay check --tree tree.yaml", jasminequay::runCheck},
+    {"check", "check a tree or instance settings", "jasminequay check --tree tree.yaml",
+        jasminequay::runCheck},
     {"explain", "say where a flow would go, and why",
-        "jasminequay explain --tree tree.yaml --flow 10.9.0.1:4000,10.1.0.1:443,tcp", jasminequay::runExplain},
+        "jasminequay explain --tree tree.yaml --flow 10.9.0.1:4000,10.1.0.1:443,tcp",
+        jasminequay::runExplain},
     {"report", "report burn or traffic from connection records",
         "jasminequay report burn --tree tree.yaml records/*.log", jasminequay::runReport},
-    {"make-keys", "make keys for the settings of an instance", "jasminequay make-keys", jasminequay::runMakeKeys},
+    {"make-keys", "make keys for the settings of an instance", "jasminequay make-keys",
+        jasminequay::runMakeKeys},
 }};
 
 } // namespace
@@ -31,8 +34,8 @@
 {
     std::cout << "jasminequay: a layer-4 load balancer whose instances share nothing in writing\n\nUsage:\n";
     for (const Subcommand &subcommand : Subcommands) {
-        std::cout << "  jasminequay " << subcommand.name << " - " << subcommand.summary << "\n      " << subcommand.example
-                  << '\n';
+        std::cout << "  jasminequay " << subcommand.name << " - " << subcommand.summary << "\n      "
+                  << subcommand.example << '\n';
     }
     std::cout << "  jasminequay --version\n  jasminequay SUBCOMMAND --help\n";
 }
--- a/tools/jasminequay/servecommand.cpp
+++ b/tools/jasminequay/servecommand.cpp
@@ -18,6 +18,8 @@
         return;
     }
     FLAGS_logbuflevel = -1;
+    FLAGS_timestamp_in_logfile_name = false;
+    google::SetLogSymlink(google::GLOG_INFO, "");
     google::SetLogDestination(google::GLOG_INFO, settings.logFile.c_str());
     google::SetLogDestination(google::GLOG_WARNING, "");
     google::SetLogDestination(google::GLOG_ERROR, "");
@@ -50,12 +52,14 @@
 
 ExitCode runServe(int argumentCount, char **arguments)
 {
-    cxxopts::Options options("jasminequay serve", "Runs one instance until SIGTERM; a second one ends it at once");
-    options.add_options()("settings", "the settings of the instance", cxxopts::value<std::string>())(
-        "tree", "a tree of services that takes the platform's place", cxxopts::value<std::string>()->default_value(""));
+    cxxopts::Options options(
+        "jasminequay serve", "Runs one instance until SIGTERM; a second one ends it at once");
+    options.add_options()("settings", "the settings of the instance", cxxopts::value<std::string>())("tree",
+        "a tree of services that takes the platform's place",
+        cxxopts::value<std::string>()->default_value(""));
     ExitCode exit = ExitCode::Success;
-    const std::optional<cxxopts::ParseResult> given = parseOptions(
-        options, argumentCount, arguments, "jasminequay serve --settings instance.yaml", exit);
+    const std::optional<cxxopts::ParseResult> given
+        = parseOptions(options, argumentCount, arguments, "jasminequay serve --settings instance.yaml", exit);
     if (!given) {
         return exit;
     }
