Prove the promises on a fleet of real decision libraries; hold what a newcomer cannot know

The restarted instance heard nobody, knew no earlier version and placed by the new one, while another had placed the flow by the old one. Ruled out: the hold on changed targets (the old instance did hold), lost shares (none were due). Change: while a listed member does not answer, an instance that joined within the idle timeout does not place unknown flows that may not run twice.

--- a/include/jasminequay/Control/instancecontrol.h
+++ b/include/jasminequay/Control/instancecontrol.h
@@ -132,6 +132,7 @@
     std::shared_ptr<const Catalogue> m_publishedCatalogue;
     std::uint64_t m_publishedView = 0;
     TimePoint m_publishedRejoin;
+    bool m_publishedLacksHistory = false;
     TimePoint m_joinDeadline;
     TimePoint m_settingsRequestedAt;
     TimePoint m_confirmationsRequestedAt;
--- a/include/jasminequay/Control/settingscontrol.h
+++ b/include/jasminequay/Control/settingscontrol.h
@@ -83,9 +83,10 @@
         return m_sweptVersion >= version() && version() > 0;
     }
 
-private:
+    /// Returns how long a flow that may not run twice can live unseen by all but one instance.
     [[nodiscard]] Duration retention() const;
 
+private:
     std::uint64_t m_incarnation;
     SettingsLedger m_ledger;
     CatalogueBuilder m_builder;
--- a/include/jasminequay/Flow/flowengine.h
+++ b/include/jasminequay/Flow/flowengine.h
@@ -185,6 +185,7 @@
     void noteFlags(FlowEntry &entry, TcpFlags flags, bool isFromCaller);
     void countPacket(FlowEntry &entry, const PacketView &packet, bool isFromCaller, TimePoint now);
     void writeRecord(FlowEntry &entry, EndCause cause);
+    void recordUnbound(const PacketView &packet, const FlowContext &flow, Endpoint target, bool isFromCaller);
     void rememberDeparted(const Catalogue &before, const Catalogue &after);
 
     // transfer.cpp
--- a/include/jasminequay/Flow/ownershipview.h
+++ b/include/jasminequay/Flow/ownershipview.h
@@ -17,16 +17,24 @@
     TimePoint since; ///< When this instance last saw the owners change.
 };
 
+/// The instances of a data centre, as one instance believes.
+struct MemberSets {
+    std::vector<InstanceId> eligible; ///< Those that may own flows.
+    std::vector<InstanceId> reachable; ///< Those that answer queries.
+    /// Whether this instance joined late and a listed one that knows earlier flows does not answer.
+    bool mayLackHistory = false;
+};
+
 /// An immutable view of the owners of all services and of the live instances.
 class OwnershipView
 {
 public:
     OwnershipView() = default;
 
-    /// Computes the owners among `eligible` instances. `before` gives the moments of services whose owners
+    /// Computes the owners among the eligible instances. `before` gives the moments of services whose owners
     /// stay the same.
-    OwnershipView(const Catalogue &catalogue, InstanceId self, const std::vector<InstanceId> &eligible,
-        std::vector<InstanceId> reachable, const OwnershipView &before, TimePoint now);
+    OwnershipView(const Catalogue &catalogue, InstanceId self, const MemberSets &members,
+        const OwnershipView &before, TimePoint now);
 
     /// Returns the owner of a flow; zero if no instance may own it.
     [[nodiscard]] InstanceId ownerOf(ServiceId service, std::uint64_t flowHash) const;
@@ -43,6 +51,12 @@
         return m_peers;
     }
 
+    /// Tells whether flows may be running that this instance cannot hear of.
+    [[nodiscard]] bool mayLackHistory() const
+    {
+        return m_mayLackHistory;
+    }
+
     /// Returns the owners of a service; null if it is unknown.
     [[nodiscard]] const ServiceOwners *owners(ServiceId service) const
     {
@@ -52,6 +66,7 @@
 private:
     std::vector<ServiceOwners> m_services;
     std::vector<InstanceId> m_peers;
+    bool m_mayLackHistory = false;
 };
 
 /// What the traffic threads route by: replaced whole, never changed.
--- a/include/jasminequay/Membership/membertable.h
+++ b/include/jasminequay/Membership/membertable.h
@@ -92,6 +92,10 @@
     /// Returns the other instances that answer queries, those that join and leave included.
     [[nodiscard]] std::vector<InstanceId> reachable() const;
 
+    /// Tells whether a listed member does not answer that may know flows from before this instance joined.
+    /// `retention` is how long a silent flow is kept.
+    [[nodiscard]] bool mayLackHistory(Duration retention, TimePoint now) const;
+
     /// Returns the instance that reads the platform for the whole data centre.
     [[nodiscard]] InstanceId platformWatcher() const;
 
@@ -153,6 +157,7 @@
     std::vector<InstanceId> m_viewReachable;
     TimePoint m_tickedAt;
     TimePoint m_heardAt; ///< When any member's heartbeat last grew.
+    TimePoint m_startedAt;
     TimePoint m_rejoinedAt;
     TimePoint m_lastLossAt = TimePoint::min();
     bool m_isFenced = false;
--- a/lib/Control/instancecontrol.cpp
+++ b/lib/Control/instancecontrol.cpp
@@ -307,16 +307,18 @@
 
 std::optional<RoutingSnapshot> InstanceControl::takeSnapshot(TimePoint now)
 {
-    const bool isSame
-        = m_publishedCatalogue == m_settings.catalogue() && m_publishedView == m_members.viewNumber();
+    const bool lacksHistory = m_members.mayLackHistory(m_settings.retention(), now);
+    const bool isSame = m_publishedCatalogue == m_settings.catalogue()
+        && m_publishedView == m_members.viewNumber() && m_publishedLacksHistory == lacksHistory;
     if (isSame) {
         return std::nullopt;
     }
+    m_publishedLacksHistory = lacksHistory;
     // After a pause nothing is known of what happened to the owners, so all of them count as changed.
     const bool hasRejoined = m_publishedRejoin != m_members.rejoinedAt();
     const OwnershipView before = hasRejoined ? OwnershipView{} : *m_ownership;
-    m_ownership = std::make_shared<const OwnershipView>(
-        *m_settings.catalogue(), m_self, m_members.eligible(), m_members.reachable(), before, now);
+    m_ownership = std::make_shared<const OwnershipView>(*m_settings.catalogue(), m_self,
+        MemberSets{m_members.eligible(), m_members.reachable(), m_publishedLacksHistory}, before, now);
     m_publishedCatalogue = m_settings.catalogue();
     m_publishedView = m_members.viewNumber();
     m_publishedRejoin = m_members.rejoinedAt();
--- a/lib/Control/settingscontrol.cpp
+++ b/lib/Control/settingscontrol.cpp
@@ -81,12 +81,11 @@
     return m_confirmations.confirm(peer, confirmation, hasReceived ? found->second.second.size() : 0);
 }
 
-/// How long a flow that may not run twice can live unseen by all but an instance that is gone.
 Duration SettingsControl::retention() const
 {
     Duration longest{};
     for (const Catalogue::TablePointer &table : catalogue()->tables()) {
-        if (table && table->previous) {
+        if (table && !table->policy.repeatable) {
             longest = std::max(longest, table->policy.idleTimeout);
         }
     }
--- a/lib/Flow/bindings.cpp
+++ b/lib/Flow/bindings.cpp
@@ -195,6 +195,20 @@
     }
 }
 
+/// Records a packet that passes without an entry, so that no byte is missing from the sums.
+void FlowEngine::recordUnbound(
+    const PacketView &packet, const FlowContext &flow, Endpoint target, bool isFromCaller)
+{
+    FlowRecord record;
+    record.flow = flow.name;
+    record.service = flow.service->name;
+    record.division = flow.service->policy.division;
+    record.target = target;
+    (isFromCaller ? record.bytesUp : record.bytesDown) = static_cast<std::uint32_t>(packet.bytes.size());
+    (isFromCaller ? record.packetsUp : record.packetsDown) = 1;
+    m_records.push_back(std::move(record));
+}
+
 void FlowEngine::writeRecord(FlowEntry &entry, EndCause cause)
 {
     const bool isOwner = entry.has(FlowMark::Owned);
--- a/lib/Flow/callerpath.cpp
+++ b/lib/Flow/callerpath.cpp
@@ -141,6 +141,10 @@
     if (packet.flags.rst) {
         return Decision::drop(DropCause::NoTarget);
     }
+    if (!flow.service->policy.repeatable && m_routing.ownership->mayLackHistory()) {
+        // An instance that does not answer may hold the flow at a target that the settings no longer give.
+        return Decision::drop(DropCause::AwaitingBinding);
+    }
     const bool isNew = mayOpenFlow(packet);
     const bool mustAsk = !isNew || mayHaveBeenPlaced(flow, now);
     if (mustAsk && !m_routing.ownership->peers().empty()) {
--- a/lib/Flow/ownershipview.cpp
+++ b/lib/Flow/ownershipview.cpp
@@ -7,11 +7,11 @@
 namespace jasminequay
 {
 
-OwnershipView::OwnershipView(const Catalogue &catalogue, InstanceId self,
-    const std::vector<InstanceId> &eligible, std::vector<InstanceId> reachable, const OwnershipView &before,
-    TimePoint now)
+OwnershipView::OwnershipView(const Catalogue &catalogue, InstanceId self, const MemberSets &members,
+    const OwnershipView &before, TimePoint now)
     : m_services(catalogue.tables().size())
-    , m_peers(std::move(reachable))
+    , m_peers(members.reachable)
+    , m_mayLackHistory(members.mayLackHistory)
 {
     std::erase(m_peers, self);
     for (const Catalogue::TablePointer &table : catalogue.tables()) {
@@ -19,7 +19,7 @@
             continue;
         }
         ServiceOwners &entry = m_services[table->id];
-        entry.owners = firstInstances(table->name, eligible, table->policy.owners + 1U);
+        entry.owners = firstInstances(table->name, members.eligible, table->policy.owners + 1U);
         if (entry.owners.size() > table->policy.owners) {
             entry.next = entry.owners.back();
             entry.owners.pop_back();
--- a/lib/Flow/targetpath.cpp
+++ b/lib/Flow/targetpath.cpp
@@ -30,10 +30,11 @@
     if (place.target->isQuarantined || place.service->isQuarantined) {
         return Decision::drop(DropCause::Quarantined);
     }
+    const FlowContext flow = contextOf(*place.service, caller);
     if (isError) {
+        recordUnbound(packet, flow, address, false);
         return Decision::toCaller(place.service->address);
     }
-    const FlowContext flow = contextOf(*place.service, caller);
     const bool isForOwner = concernsOwner(packet) && flow.owner != m_self && flow.owner != InstanceId{}
         && flow.owner != origin && hops == 0;
     if (isForOwner) {
@@ -75,6 +76,7 @@
     FlowEntry *const entry
         = packet.flags.rst ? nullptr : insertEntry(flow, place.target->id, FlowState::Established, now);
     if (entry == nullptr) {
+        recordUnbound(packet, flow, place.target->settings.address, false);
         return decision;
     }
     ++m_counters.learned;
--- a/lib/Membership/membertable.cpp
+++ b/lib/Membership/membertable.cpp
@@ -31,6 +31,7 @@
     , m_random(seed)
     , m_tickedAt(now)
     , m_heardAt(now)
+    , m_startedAt(now)
     , m_rejoinedAt(now)
 {
 }
@@ -331,6 +332,15 @@
     ++m_viewNumber;
 }
 
+bool MemberTable::mayLackHistory(Duration retention, TimePoint now) const
+{
+    const bool isNewcomer = now - m_startedAt < retention;
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &item) {
+        const Member &member = item.second;
+        return member.isListed && (isNewcomer ? !answers(member) : !member.hasBeenHeard);
+    });
+}
+
 InstanceId MemberTable::platformWatcher() const
 {
     std::vector<InstanceId> candidates;
--- /dev/null
+++ b/unittests/Control/fleetpromisetest.cpp
@@ -0,0 +1,256 @@
+// One promise at a time, under the fault that threatens it most.
+#include "fleetwork.h"
+
+#include "jasminequay/Record/trafficsum.h"
+
+#include <gtest/gtest.h>
+
+namespace jasminequay
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static void startNamed(
+    FakeFleet &fleet, const std::vector<std::string> &names, const std::vector<TreeService> &services)
+{
+    for (const std::string &name : names) {
+        fleet.start(name);
+    }
+    fleet.publish(writeTree(1, services));
+    fleet.run(seconds(6));
+}
+
+/// Moves the last target of "codebook" to "bundles".
+static std::vector<TreeService> withMovedTarget()
+{
+    std::vector<TreeService> services = usualServices();
+    services[1].targets.push_back(services[0].targets.back());
+    services[0].targets.pop_back();
+    return services;
+}
+
+/// Promise 2: while one instance sleeps on the old version, the new service does not use the moved target,
+/// and once it does, no packet of the old service reaches it any more.
+TEST(Isolation, MovedTargetWaitsForASleepingInstance)
+{
+    FakeFleet fleet(7);
+    FleetWork work(fleet, usualServices());
+    startNamed(fleet, {"a", "b", "c"}, usualServices());
+    work.openSteadily(milliseconds(50));
+    fleet.run(seconds(3));
+    fleet.freeze("b", true);
+    fleet.publish(writeTree(2, withMovedTarget()));
+    fleet.run(seconds(5));
+    EXPECT_TRUE(fleet.at("a").control.settings().holdsBack());
+    EXPECT_EQ(work.misdelivered(), 0U) << "the old owner of the address still counts";
+    fleet.freeze("b", false);
+    work.moveTarget("10.2.0.4:80", "bundles");
+    fleet.run(seconds(6));
+    EXPECT_EQ(work.misdelivered(), 0U);
+    for (const std::string &name : fleet.names()) {
+        EXPECT_FALSE(fleet.at(name).control.settings().holdsBack()) << name;
+    }
+    EXPECT_GT(work.lastNewFlowAt("10.2.0.4:80"), fleet.now() - seconds(3))
+        << "the moved target is never used";
+}
+
+/// Promise 2: an instance that joins while a move is held back holds it back too, although it knows no
+/// version before.
+TEST(Isolation, JoiningInstanceHoldsBackWhatItsPeersHoldBack)
+{
+    FakeFleet fleet(8);
+    FleetWork work(fleet, usualServices());
+    startNamed(fleet, {"a", "b", "c"}, usualServices());
+    fleet.freeze("b", true);
+    fleet.publish(writeTree(2, withMovedTarget()));
+    fleet.run(seconds(3));
+    fleet.start("joiner");
+    fleet.run(seconds(4));
+    EXPECT_TRUE(fleet.at("joiner").control.settings().holdsBack());
+    work.openSteadily(milliseconds(20));
+    fleet.run(seconds(3));
+    EXPECT_EQ(work.misdelivered(), 0U);
+    EXPECT_EQ(work.lastNewFlowAt("10.2.0.4:80"), TimePoint{})
+        << "the target is used before all have confirmed";
+}
+
+/// Promise 4: a caller that is told "not run" never reached a target, at a limit and while owners change.
+TEST(Refusal, IsTrueAtTheLimitWhileOwnersDie)
+{
+    std::vector<TreeService> services = usualServices();
+    for (TreeService &service : services) {
+        service.settings += "\n        connection-limit: 3";
+    }
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        FakeFleet fleet(seed);
+        FleetWork work(fleet, services);
+        startNamed(fleet, {"a", "b", "c", "d"}, services);
+        work.openSteadily(milliseconds(30));
+        fleet.run(seconds(6));
+        fleet.kill("b");
+        fleet.run(seconds(4));
+        fleet.start("b");
+        fleet.run(seconds(8));
+        EXPECT_GT(work.refused(), 50U) << "the limit refuses nothing";
+        EXPECT_EQ(work.refusedButRun(), 0U);
+        EXPECT_EQ(work.misdelivered(), 0U);
+    }
+}
+
+/// Promise 5: a flow that may not run twice stays at one target while targets drain and come back, versions
+/// arrive unevenly, owners die and messages are lost.
+TEST(AtMostOnce, HoldsWhileTargetsChangeAndOwnersDie)
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6}) {
+        SCOPED_TRACE(seed);
+        FakeFleet fleet(seed);
+        FleetWork work(fleet, usualServices());
+        startNamed(fleet, {"a", "b", "c", "d", "e"}, usualServices());
+        fleet.faults = {0.2, 0.1, milliseconds(2), milliseconds(50)};
+        work.openSteadily(milliseconds(20));
+        fleet.run(seconds(2));
+        std::vector<TreeService> services = usualServices();
+        std::uint64_t version = 1;
+        for (std::size_t round = 0; round < 4; ++round) {
+            services[2].targets[round].state = "draining";
+            fleet.freeze("e", round % 2 == 0);
+            fleet.publish(writeTree(++version, services));
+            fleet.run(milliseconds(700));
+            if (round == 1) {
+                fleet.kill("b");
+            }
+            fleet.run(milliseconds(900));
+            services[2].targets[round].state = "serving";
+        }
+        fleet.unlist("b");
+        fleet.run(seconds(20));
+        EXPECT_EQ(work.atTwoTargets("reserve"), 0U);
+        EXPECT_GT(work.answered(), 300U) << "the service stands still";
+    }
+}
+
+/// Promise 6: a target that leaves gets no new flow three seconds after the platform publishes it, also from
+/// an instance that cannot reach the platform.
+TEST(Drain, NoNewFlowAfterThreeSeconds)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        FakeFleet fleet(seed);
+        FleetWork work(fleet, usualServices());
+        startNamed(fleet, {"a", "b", "c", "d", "e", "f", "g", "h", "i"}, usualServices());
+        work.openSteadily(milliseconds(20));
+        fleet.run(seconds(2));
+        std::vector<TreeService> services = usualServices();
+        services[0].targets[1].state = "draining";
+        services[1].targets[1].state = "draining";
+        services[2].targets[1].state = "draining";
+        const TimePoint published = fleet.now();
+        fleet.publish(writeTree(2, services));
+        fleet.run(seconds(10));
+        for (const char *const target : {"10.2.0.2:80", "10.2.1.2:80", "10.2.2.2:53"}) {
+            EXPECT_LT(work.lastNewFlowAt(target), published + seconds(3)) << target;
+        }
+        EXPECT_EQ(work.broken(), 0U) << work.reasons();
+    }
+}
+
+/// Promise 8: a version is in force at nine instances within five seconds, and neither a platform that went
+/// back to an older one nor a conflicting one of the same number reverts it.
+TEST(Settings, AreInForceWithinSecondsAndNeverRevert)
+{
+    FakeFleet fleet(3);
+    const std::vector<std::string> names{"a", "b", "c", "d", "e", "f", "g", "h", "i"};
+    startNamed(fleet, names, usualServices());
+    std::vector<TreeService> services = usualServices();
+    services[0].targets.pop_back();
+    fleet.publish(writeTree(2, services));
+    fleet.run(seconds(5));
+    for (const std::string &name : names) {
+        EXPECT_EQ(fleet.at(name).control.settings().version(), 2U) << name;
+        EXPECT_EQ(fleet.at(name).control.settings().confirmations().confirmedBy(
+                      fleet.at(name).control.members(), 2),
+            8U)
+            << name;
+    }
+    fleet.publish(writeTree(1, usualServices()));
+    fleet.run(seconds(3));
+    fleet.publish(writeTree(2, usualServices()));
+    fleet.start("late");
+    fleet.run(seconds(5));
+    for (const std::string &name : fleet.names()) {
+        EXPECT_EQ(fleet.at(name).control.settings().version(), 2U) << name;
+        EXPECT_EQ(fleet.at(name)
+                      .control.settings()
+                      .catalogue()
+                      ->serviceAt(*parseEndpoint("10.1.0.1:443"), Protocol::Tcp)
+                      ->targets.size(),
+            3U)
+            << name;
+    }
+}
+
+/// Settings with mistakes change nothing.
+TEST(Settings, MistakesLeaveTheLastGoodVersionInForce)
+{
+    FakeFleet fleet(3);
+    startNamed(fleet, {"a", "b"}, usualServices());
+    fleet.publish("version: 2\ngroup: [");
+    fleet.run(seconds(2));
+    std::vector<TreeService> services = usualServices();
+    services[1].targets.push_back(services[0].targets.front());
+    fleet.publish(writeTree(3, services));
+    fleet.run(seconds(2));
+    for (const std::string &name : fleet.names()) {
+        EXPECT_EQ(fleet.at(name).control.settings().version(), 1U) << name;
+    }
+}
+
+/// Records: the sums over all instances are, byte for byte, what the fabric carried to and from the targets,
+/// after a rolling replacement.
+TEST(Records, SumToWhatTargetsAndCallersSaw)
+{
+    FakeFleet fleet(11);
+    FleetWork work(fleet, usualServices());
+    startNamed(fleet, {"a", "b", "c"}, usualServices());
+    work.openSteadily(milliseconds(40));
+    fleet.run(seconds(5));
+    fleet.start("d");
+    fleet.run(seconds(3));
+    fleet.leave("a");
+    fleet.run(seconds(2));
+    fleet.unreachable.insert("a");
+    fleet.run(seconds(3));
+    work.openSteadily({});
+    fleet.run(seconds(12));
+    std::vector<ConnectionRecord> records;
+    for (const std::string &name : fleet.names()) {
+        FakeInstance &instance = fleet.at(name);
+        instance.engine.flushRecords();
+        instance.step(fleet.now());
+        for (const FlowRecord &flow : instance.records) {
+            records.push_back({RecordKind::Flow, name, 1, records.size() + 1, 0, flow});
+        }
+    }
+    TrafficSum total;
+    for (const auto &[key, sum] : sumTraffic(records)) {
+        total.bytesUp += sum.bytesUp;
+        total.bytesDown += sum.bytesDown;
+        total.flows += sum.flows;
+    }
+    EXPECT_EQ(total.bytesUp, work.targetBytes().first);
+    EXPECT_EQ(total.bytesDown, work.targetBytes().second);
+}
+
+/// Nine instances spend less than four kilobytes a second each on control while flows come and go.
+TEST(Control, StaysInsideItsBudget)
+{
+    FakeFleet fleet(5);
+    FleetWork work(fleet, usualServices());
+    startNamed(fleet, {"a", "b", "c", "d", "e", "f", "g", "h", "i"}, usualServices());
+    work.openSteadily(milliseconds(10));
+    const std::uint64_t before = fleet.controlBytes();
+    fleet.run(seconds(10));
+    EXPECT_LT((fleet.controlBytes() - before) / 9 / 10, 4096U);
+}
+
+} // namespace jasminequay
