Split the control thread and the engine tests by job

Ruled out: a class for each part of the control thread, since all of them share its state. Conclusion: behaviour unchanged.

--- a/lib/Node/nodecontrol.cpp
+++ b/lib/Node/nodecontrol.cpp
@@ -1,6 +1,7 @@
 #include "nodecontrol.h"
 
-#include "jasminequay/Platform/instancelistparser.h"
+#include "nodeclock.h"
+
 #include "jasminequay/Support/logevent.h"
 
 #include <boost/asio/post.hpp>
@@ -19,20 +20,6 @@
 constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(100);
 constexpr Duration ProbeInterval = std::chrono::seconds(2);
 
-/// A leaving instance that got no packet from the fabric for this long is no longer in its way.
-constexpr Duration QuietBeforeExit = std::chrono::seconds(2);
-
-static TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
-static std::int64_t wallMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-}
-
 NodeControl::NodeControl(const InstanceSettings &settings, std::string treeFile)
     : m_settings(settings)
     , m_treeFile(std::move(treeFile))
@@ -161,53 +148,6 @@
     publish(now);
 }
 
-void NodeControl::watchPlatform()
-{
-    if (m_settings.platform.port == 0) {
-        return;
-    }
-    PlatformWatchHooks settingsHooks;
-    settingsHooks.shouldWatch = [this]() {
-        return m_control.shouldWatchPlatform();
-    };
-    settingsHooks.version = [this]() {
-        return m_control.settings().version();
-    };
-    settingsHooks.health = [this](bool isFailing) {
-        m_control.onPlatformHealth(isFailing);
-    };
-    settingsHooks.take = [this](const std::string &text) {
-        const TimePoint now = currentTime();
-        m_control.onSettings(text, now);
-        publish(now);
-    };
-    PlatformWatchHooks instancesHooks = settingsHooks;
-    instancesHooks.version = [this]() {
-        return m_listVersion;
-    };
-    instancesHooks.take = [this](const std::string &text) {
-        withFailure(
-            [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(list, parseInstanceList(text, format(m_settings.platform)));
-                const TimePoint now = currentTime();
-                m_listVersion = list.version;
-                m_control.onInstanceList(list, now);
-                publish(now);
-                return {};
-            },
-            [](const Failure &failure) {
-                LogEvent(Severity::Error, "instance-list-refused").with("reason", describe(failure));
-            });
-    };
-    const std::uint64_t seed = hashWords(m_incarnation, instanceIdOf(m_settings.instance).value);
-    m_settingsWatch = std::make_unique<PlatformWatch>(
-        m_context, m_settings.platform, PlatformValue::Settings, std::move(settingsHooks), seed);
-    m_instancesWatch = std::make_unique<PlatformWatch>(
-        m_context, m_settings.platform, PlatformValue::Instances, std::move(instancesHooks), seed + 1);
-    m_settingsWatch->start();
-    m_instancesWatch->start();
-}
-
 void NodeControl::watchPeers()
 {
     for (const int descriptor : m_link.descriptors()) {
@@ -309,80 +249,6 @@
         });
 }
 
-void NodeControl::waitForSignal()
-{
-    m_signals.async_wait([this](boost::system::error_code error, int) {
-        if (error) {
-            return;
-        }
-        if (m_isLeaving) {
-            finish(NodeEnd::Interrupted);
-            return;
-        }
-        beginLeave();
-        waitForSignal();
-    });
-}
-
-void NodeControl::beginLeave()
-{
-    const TimePoint now = currentTime();
-    m_isLeaving = true;
-    m_leaveStarted = now;
-    m_quietSince = now;
-    m_control.beginLeave(now);
-    publish(now);
-    LogEvent(Severity::Info, "instance-leaving").with("flows", traffic().flows);
-}
-
-Duration NodeControl::drainDeadline() const
-{
-    Duration longest = std::chrono::seconds(1);
-    for (const Catalogue::TablePointer &table : m_control.settings().catalogue()->tables()) {
-        longest = table ? std::max(longest, table->policy.drainDeadline) : longest;
-    }
-    return longest;
-}
-
-void NodeControl::checkLeave(TimePoint now)
-{
-    if (!m_isLeaving) {
-        return;
-    }
-    const TrafficCounters counters = traffic();
-    if (counters.fabricPackets != m_fabricPackets || counters.waitingHandovers > 0) {
-        m_fabricPackets = counters.fabricPackets;
-        m_quietSince = now;
-    }
-    if (now - m_quietSince >= QuietBeforeExit) {
-        finish(NodeEnd::Drained);
-        return;
-    }
-    if (now - m_leaveStarted >= drainDeadline()) {
-        LogEvent(Severity::Warning, "drain-deadline-passed")
-            .with("flows", counters.flows)
-            .with("handovers-waiting", counters.waitingHandovers);
-        finish(NodeEnd::Deadline);
-    }
-}
-
-void NodeControl::finish(NodeEnd end)
-{
-    m_end = end;
-    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
-        worker->stop();
-    }
-    // The last records of the traffic threads are already posted; the stop record follows them.
-    asio::post(m_context, [this]() {
-        withFailure([this]() { return m_records.close(wallMilliseconds()); },
-            [](const Failure &failure) {
-                LogEvent(Severity::Error, "records-lost").with("reason", describe(failure));
-            });
-        LogEvent(Severity::Info, "instance-stopped").with("flows", traffic().flows);
-        m_context.stop();
-    });
-}
-
 TrafficCounters NodeControl::traffic() const
 {
     TrafficCounters sum;
@@ -392,43 +258,4 @@
     return sum;
 }
 
-OperatorPage NodeControl::pageFor(const std::string &path) const
-{
-    if (path == "/healthz") {
-        return {200, "ok\n"};
-    }
-    if (path == "/readyz") {
-        return m_control.isReady() ? OperatorPage{200, "ready\n"} : OperatorPage{503, "not ready\n"};
-    }
-    if (path == "/metrics") {
-        ControlCounters counters;
-        counters.peers = m_link.counters();
-        counters.records = m_records.sequence();
-        if (m_settingsWatch) {
-            counters.platformCalls = m_settingsWatch->calls() + m_instancesWatch->calls();
-            counters.platformFailures = m_settingsWatch->failures() + m_instancesWatch->failures();
-        }
-        return {200, metricsPage(m_control, traffic(), counters)};
-    }
-    return {404, "unknown page\n"};
-}
-
-std::vector<ProbedTarget> NodeControl::probedTargets() const
-{
-    std::vector<ProbedTarget> targets;
-    for (const Catalogue::TablePointer &table : m_control.settings().catalogue()->tables()) {
-        if (!table || table->policy.reportPort == 0 || !m_control.owns(table->id)) {
-            continue;
-        }
-        for (const TargetEntry &target : table->targets) {
-            const Endpoint endpoint{
-                target.settings.address.address, static_cast<std::uint16_t>(table->policy.reportPort)};
-            targets.push_back({endpoint, [load = target.load](const LoadReport &report) {
-                                   load->report(report.outstanding, report.isShedding, currentTime());
-                               }});
-        }
-    }
-    return targets;
-}
-
 } // namespace jasminequay
--- /dev/null
+++ b/lib/Node/nodeleave.cpp
@@ -0,0 +1,94 @@
+// The graceful leave and the end of the process.
+#include "nodecontrol.h"
+
+#include "nodeclock.h"
+
+#include "jasminequay/Support/logevent.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace jasminequay
+{
+
+namespace asio = boost::asio;
+
+/// A leaving instance that got no packet from the fabric for this long is no longer in its way.
+constexpr Duration QuietBeforeExit = std::chrono::seconds(2);
+
+void NodeControl::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int) {
+        if (error) {
+            return;
+        }
+        if (m_isLeaving) {
+            finish(NodeEnd::Interrupted);
+            return;
+        }
+        beginLeave();
+        waitForSignal();
+    });
+}
+
+void NodeControl::beginLeave()
+{
+    const TimePoint now = currentTime();
+    m_isLeaving = true;
+    m_leaveStarted = now;
+    m_quietSince = now;
+    m_control.beginLeave(now);
+    publish(now);
+    LogEvent(Severity::Info, "instance-leaving").with("flows", traffic().flows);
+}
+
+Duration NodeControl::drainDeadline() const
+{
+    Duration longest = std::chrono::seconds(1);
+    for (const Catalogue::TablePointer &table : m_control.settings().catalogue()->tables()) {
+        longest = table ? std::max(longest, table->policy.drainDeadline) : longest;
+    }
+    return longest;
+}
+
+void NodeControl::checkLeave(TimePoint now)
+{
+    if (!m_isLeaving) {
+        return;
+    }
+    const TrafficCounters counters = traffic();
+    if (counters.fabricPackets != m_fabricPackets || counters.waitingHandovers > 0) {
+        m_fabricPackets = counters.fabricPackets;
+        m_quietSince = now;
+    }
+    if (now - m_quietSince >= QuietBeforeExit) {
+        finish(NodeEnd::Drained);
+        return;
+    }
+    if (now - m_leaveStarted >= drainDeadline()) {
+        LogEvent(Severity::Warning, "drain-deadline-passed")
+            .with("flows", counters.flows)
+            .with("handovers-waiting", counters.waitingHandovers);
+        finish(NodeEnd::Deadline);
+    }
+}
+
+void NodeControl::finish(NodeEnd end)
+{
+    m_end = end;
+    for (const std::unique_ptr<TrafficWorker> &worker : m_workers) {
+        worker->stop();
+    }
+    // The last records of the traffic threads are already posted; the stop record follows them.
+    asio::post(m_context, [this]() {
+        withFailure([this]() { return m_records.close(wallMilliseconds()); },
+            [](const Failure &failure) {
+                LogEvent(Severity::Error, "records-lost").with("reason", describe(failure));
+            });
+        LogEvent(Severity::Info, "instance-stopped").with("flows", traffic().flows);
+        m_context.stop();
+    });
+}
+
+} // namespace jasminequay
--- a/lib/Node/trafficworker.cpp
+++ b/lib/Node/trafficworker.cpp
@@ -1,6 +1,7 @@
 #include "jasminequay/Node/trafficworker.h"
 
 #include "jasminequay/Fabric/steering.h"
+#include "nodeclock.h"
 
 #include <boost/asio/post.hpp>
 
@@ -14,11 +15,6 @@
 constexpr std::size_t SweptSlotsPerTick = 16384;
 constexpr auto SweepInterval = std::chrono::milliseconds(10);
 
-static TimePoint currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 static EngineLimits limitsOf(const InstanceSettings &settings)
 {
     EngineLimits limits;
--- /dev/null
+++ b/unittests/Flow/enginepeertest.cpp
@@ -0,0 +1,160 @@
+// The decisions of one engine among peers.
+#include "enginefixture.h"
+
+namespace jasminequay
+{
+
+TEST_F(EngineTest, NonOwnerPassesFirstPacketsToTheOwnerAndUsesItsAnswer)
+{
+    adopt({Peer}, {Peer});
+    EXPECT_EQ(fromCaller(1, Syn).verb, Verb::ToPeer);
+    EXPECT_EQ(fromCaller(1, Ack).verb, Verb::ToPeer);
+    const Endpoint target = m_configuration.services[0].targets[2].address;
+    m_engine.onBinding(
+        Peer, {BindingKind::Answer, {callerNumber(1), TcpService, Protocol::Tcp}, target, true}, m_now);
+    EXPECT_EQ(fromCaller(1, Ack).endpoint, target);
+    EXPECT_EQ(fromCaller(1, Fin).verb, Verb::ToPeer) << "the owner must see the end";
+}
+
+TEST_F(EngineTest, BindingsAreLearnedFromAnswers)
+{
+    adopt({Peer}, {Peer});
+    const Endpoint target = m_configuration.services[0].targets[1].address;
+    EXPECT_EQ(fromTarget(1, target, Ack).verb, Verb::ToPeer) << "the owner must see the first answer";
+    EXPECT_EQ(fromTarget(1, target, Ack).verb, Verb::ToCaller);
+    EXPECT_EQ(fromCaller(1, Ack).endpoint, target);
+    EXPECT_EQ(m_engine.counters().learned, 1U);
+}
+
+TEST_F(EngineTest, PacketsDoNotCircleBetweenInstancesThatDisagree)
+{
+    adopt({Peer}, {Peer});
+    EXPECT_EQ(fromCaller(1, Ack, InstanceId{3}, 2).cause, DropCause::TooManyHops);
+}
+
+TEST_F(EngineTest, NewOwnerAsksItsPeersAndResumesTheFlow)
+{
+    adopt({Peer}, {Peer});
+    adopt({Self}, {Peer});
+    EXPECT_EQ(fromCaller(1, Ack).verb, Verb::Hold);
+    const std::vector<OutgoingBinding> sent = m_engine.takeOutbox();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].message.kind, BindingKind::Query);
+    const Endpoint target = m_configuration.services[0].targets[3].address;
+    m_engine.onBinding(Peer, {BindingKind::Found, sent[0].message.flow, target, true}, m_now);
+    const std::vector<ReleasedPacket> released = m_engine.takeReleased();
+    ASSERT_EQ(released.size(), 1U);
+    EXPECT_EQ(released[0].decision.endpoint, target);
+}
+
+TEST_F(EngineTest, ADoubledReplyCountsOnce)
+{
+    adopt({Peer}, {Peer, InstanceId{3}});
+    adopt({Self}, {Peer, InstanceId{3}});
+    EXPECT_EQ(fromCaller(1, Syn).verb, Verb::Hold);
+    const BindingMessage reply{
+        BindingKind::NotFound, {callerNumber(1), TcpService, Protocol::Tcp}, {}, false};
+    m_engine.onBinding(Peer, reply, m_now);
+    m_engine.onBinding(Peer, reply, m_now);
+    EXPECT_TRUE(m_engine.takeReleased().empty());
+    m_engine.onBinding(InstanceId{3}, reply, m_now);
+    EXPECT_EQ(m_engine.takeReleased().size(), 1U);
+}
+
+TEST_F(EngineTest, SilentPeersDelayAFlowOnlyForTheQueryTimeout)
+{
+    adopt({Peer}, {Peer});
+    adopt({Self}, {Peer});
+    EXPECT_EQ(fromCaller(1, Syn).verb, Verb::Hold);
+    EXPECT_EQ(fromCaller(1, Syn).cause, DropCause::AwaitingBinding);
+    m_engine.takeOutbox();
+    pass(milliseconds(40));
+    EXPECT_EQ(m_engine.takeOutbox().size(), 1U) << "a lost query is repeated";
+    pass(milliseconds(40));
+    pass(milliseconds(40));
+    ASSERT_EQ(m_engine.takeReleased().size(), 1U);
+    EXPECT_EQ(fromCaller(1, Syn).verb, Verb::ToTarget);
+}
+
+TEST_F(EngineTest, OwnedBindingsGoToTheNewOwner)
+{
+    const Endpoint target = fromCaller(1, Syn).endpoint;
+    fromTarget(1, target, SynAck);
+    const auto load = m_builder.current()->targetAt(target, Protocol::Tcp).target->load;
+    adopt({Peer}, {Peer});
+    pass(seconds(1));
+    const std::vector<OutgoingBinding> sent = m_engine.takeOutbox();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].message.kind, BindingKind::Replica);
+    EXPECT_EQ(sent[0].message.target, target);
+    EXPECT_EQ(load->outstanding(), 0U);
+    EXPECT_EQ(fromCaller(1, Ack).endpoint, target) << "the binding stays cached";
+}
+
+TEST_F(EngineTest, OnlyLastingExceptionsAreReplicatedInsideTheBudget)
+{
+    adopt({Self, Peer}, {Peer});
+    adopt({Self}, {Peer});
+    pass(seconds(400));
+    m_configuration.version = 2;
+    m_configuration.services[0].policy.placement = PlacementPolicy::Least;
+    adopt({Self}, {Peer});
+    for (std::uint32_t number = 0; number < 200; ++number) {
+        fromTarget(number, fromCaller(number, Syn).endpoint, SynAck);
+    }
+    EXPECT_GT(m_engine.counters().exceptions, 50U);
+    pass(seconds(2));
+    EXPECT_TRUE(m_engine.takeOutbox().empty()) << "young flows are replicated";
+}
+
+TEST_F(EngineTest, UdpLimitRefusesOnlyAfterTheWordOfEveryPeer)
+{
+    m_configuration.version = 2;
+    m_configuration.services[1].policy.newFlowLimit = 1;
+    adopt({Self}, {Peer});
+    pass(seconds(400));
+    EXPECT_EQ(datagram(1).verb, Verb::ToTarget);
+    EXPECT_EQ(datagram(2).verb, Verb::Hold);
+    m_engine.takeOutbox();
+    m_engine.onBinding(
+        Peer, {BindingKind::NotFound, {callerNumber(2), UdpService, Protocol::Udp}, {}, false}, m_now);
+    const std::vector<ReleasedPacket> released = m_engine.takeReleased();
+    ASSERT_EQ(released.size(), 1U);
+    EXPECT_EQ(released[0].decision.verb, Verb::Refuse);
+}
+
+/// Promise 5: the binding of a flow that may not run twice outlives its target's removal, so that no second
+/// target gets it.
+TEST_F(EngineTest, UnrepeatableFlowNeverMovesToASecondTarget)
+{
+    m_configuration.version = 2;
+    m_configuration.services[1].policy.repeatable = false;
+    adopt({Self}, {});
+    const Endpoint target = datagram(1).endpoint;
+    m_configuration.version = 3;
+    std::erase_if(m_configuration.services[1].targets,
+        [&](const TargetSettings &settings) { return settings.address == target; });
+    adopt({Self}, {});
+    pass(seconds(1));
+    EXPECT_EQ(datagram(1).verb, Verb::Drop);
+    m_builder.settle();
+    EXPECT_EQ(datagram(1).verb, Verb::Drop);
+}
+
+TEST_F(EngineTest, RecordsHoldEveryByteOnce)
+{
+    const Endpoint target = fromCaller(1, Syn).endpoint;
+    fromTarget(1, target, SynAck);
+    for (int packet = 0; packet < 10; ++packet) {
+        fromCaller(1, Ack);
+        pass(seconds(7));
+    }
+    m_engine.flushRecords();
+    std::uint64_t bytes = 0;
+    for (const FlowRecord &record : m_engine.takeRecords()) {
+        bytes += record.bytesUp;
+    }
+    EXPECT_EQ(bytes, 11U * 40);
+}
+
+} // namespace jasminequay
