Hold back by every unconfirmed version, and keep requests at a target that is gone

Causes, found while reading the code, each shown by a test that failed first: 1. A version that changed only the policy released what the one before held back. 4. Bindings shared twice made a confirmation wait for ever; each flow counts once now. 5. A changed new-flow-limit was not in force, and counted once for each thread. Ruled out: the settling rule (it asked for every confirmation), the placing rule. Conclusion: tables of unconfirmed versions form a chain, and all of it must agree.

--- a/include/jasminequay/Control/settingscontrol.h
+++ b/include/jasminequay/Control/settingscontrol.h
@@ -92,7 +92,7 @@
     CatalogueBuilder m_builder;
     Confirmations m_confirmations;
     std::uint64_t m_sweptVersion = 0;
-    std::vector<BindingMessage> m_shared;
+    std::map<std::uint64_t, BindingMessage> m_shared; ///< By the hash of the flow: each counts once.
     /// The flows that each peer shared for a version, by hash.
     std::map<std::string, std::pair<std::uint64_t, std::set<std::uint64_t>>> m_received;
 };
--- a/include/jasminequay/Flow/flowengine.h
+++ b/include/jasminequay/Flow/flowengine.h
@@ -11,6 +11,7 @@
 #include "jasminequay/Packet/packetview.h"
 #include "jasminequay/Support/tokenbucket.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -22,6 +23,7 @@
 /// The limits of one engine.
 struct EngineLimits {
     std::size_t flows = 1 << 16;
+    std::uint32_t threads = 1; ///< The traffic threads that share the limits of a service.
     Duration cacheLease
         = std::chrono::seconds(10); ///< How long a cached binding serves before the owner hears of it.
     Duration queryTimeout = std::chrono::milliseconds(30);
@@ -138,6 +140,18 @@
         InstanceId owner;
     };
 
+    /// Admits new flows of one service at the rate that its settings gave when it was made.
+    struct NewFlowBucket {
+        NewFlowBucket(double flowsPerSecond, TimePoint now)
+            : rate(flowsPerSecond)
+            , bucket(flowsPerSecond, std::max(flowsPerSecond, 1.0), now)
+        {
+        }
+
+        double rate;
+        TokenBucket bucket;
+    };
+
     /// The pass of the sweep through the table.
     struct SweepPass {
         std::size_t position = 0;
@@ -231,7 +245,7 @@
     TokenBucket m_queryBudget;
     TokenBucket m_replicaBudget;
     TokenBucket m_handoverBudget;
-    std::map<ServiceId, TokenBucket> m_newFlowBuckets;
+    std::map<ServiceId, NewFlowBucket> m_newFlowBuckets;
     EngineCounters m_counters;
     SweepPass m_pass;
     std::size_t m_evictionHand = 0;
--- a/include/jasminequay/Placement/servicetable.h
+++ b/include/jasminequay/Placement/servicetable.h
@@ -42,6 +42,7 @@
         = false; ///< Whether an instance may still believe that its address belongs to another service.
     /// The table before the last change, while an instance may still place by it; null once all have
     /// confirmed.
+    /// Tables of several unconfirmed changes form a chain.
     std::shared_ptr<const ServiceTable> previous;
 
     /// Returns the target with this number, or null.
@@ -54,6 +55,9 @@
     /// Returns the first target in the rendezvous order over those that take new flows; null if there is
     /// none. It depends on nothing but the settings, so that all instances with the same version agree.
     [[nodiscard]] const TargetEntry *settledChoice(std::uint64_t flowHash) const;
+
+    /// Tells whether an instance may still place a flow elsewhere by an earlier version.
+    [[nodiscard]] bool isHeldBack(std::uint64_t flowHash) const;
 };
 
 } // namespace jasminequay
--- a/lib/Control/settingscontrol.cpp
+++ b/lib/Control/settingscontrol.cpp
@@ -41,7 +41,7 @@
 
 void SettingsControl::share(const BindingMessage &binding)
 {
-    m_shared.push_back(binding);
+    m_shared.insert_or_assign(binding.flow.hash(), binding);
 }
 
 void SettingsControl::noteSwept(std::uint64_t version)
@@ -56,7 +56,11 @@
     }
     std::vector<ControlBody> bodies;
     if (!m_shared.empty()) {
-        bodies.emplace_back(BindingBatch{version(), m_shared});
+        BindingBatch batch{version(), {}};
+        for (const auto &[hash, binding] : m_shared) {
+            batch.bindings.push_back(binding);
+        }
+        bodies.emplace_back(std::move(batch));
     }
     bodies.emplace_back(Confirmation{version(), m_incarnation, m_shared.size()});
     return bodies;
--- a/lib/Flow/callerpath.cpp
+++ b/lib/Flow/callerpath.cpp
@@ -94,6 +94,7 @@
         // harm.
         const bool mayMove = mayOpenFlow(packet) && (flow.service->policy.repeatable || !entry->isLive());
         if (!mayMove) {
+            entry->lastSeen = tickAt(now);
             return Decision::drop(DropCause::NoTarget);
         }
         forget(*entry, EndCause::TargetRemoved);
@@ -190,8 +191,12 @@
     if (service.policy.newFlowLimit == 0) {
         return true;
     }
-    const double rate = service.policy.newFlowLimit;
-    return m_newFlowBuckets.try_emplace(service.id, rate, rate, now).first->second.take(1, now);
+    const double rate = static_cast<double>(service.policy.newFlowLimit) / m_limits.threads;
+    const auto [position, isNew] = m_newFlowBuckets.try_emplace(service.id, rate, now);
+    if (position->second.rate != rate) {
+        position->second = NewFlowBucket(rate, now);
+    }
+    return position->second.bucket.take(1, now);
 }
 
 const TargetEntry *FlowEngine::selectFor(const FlowContext &flow, TimePoint now, DropCause &cause) const
@@ -208,13 +213,9 @@
     // The target of a flow that may not run twice depends on the settings alone. Where the version before
     // gives another target and an instance may still place by it, the flow waits.
     const TargetEntry *const choice = flow.service->settledChoice(flow.hash);
-    if (const ServiceTable *const previous = flow.service->previous.get(); previous != nullptr) {
-        const TargetEntry *const earlier = previous->settledChoice(flow.hash);
-        const bool isSame = choice != nullptr && earlier != nullptr && earlier->id == choice->id;
-        if (!isSame) {
-            cause = DropCause::Quarantined;
-            return nullptr;
-        }
+    if (flow.service->isHeldBack(flow.hash)) {
+        cause = DropCause::Quarantined;
+        return nullptr;
     }
     const bool hasRoom = choice != nullptr && choice->load->outstanding() < choice->settings.connectionLimit;
     return hasRoom ? choice : nullptr;
--- a/lib/Flow/sweep.cpp
+++ b/lib/Flow/sweep.cpp
@@ -75,6 +75,8 @@
         // Kept where the flow may not reach a second target, until it has been silent for its idle timeout.
         if (service->policy.repeatable) {
             forget(entry, EndCause::TargetRemoved);
+        } else if (m_pass.isRecheck && entry.isLive()) {
+            shareUnrepeatable(entry, flow);
         }
         return;
     }
@@ -93,7 +95,8 @@
     if (entry.state == FlowState::Closed) {
         return silent > ticks(m_limits.closedLinger) ? std::optional(EndCause::Finished) : std::nullopt;
     }
-    if (entry.state == FlowState::Opening) {
+    // A request that may not run twice may be running for as long as its caller waits.
+    if (entry.state == FlowState::Opening && service.policy.repeatable) {
         return silent > ticks(service.policy.handshakeTimeout) ? std::optional(EndCause::NoAnswer)
                                                                : std::nullopt;
     }
--- a/lib/Flow/transfer.cpp
+++ b/lib/Flow/transfer.cpp
@@ -86,7 +86,9 @@
 void FlowEngine::answerQuery(InstanceId from, const FlowContext &flow)
 {
     const FlowEntry *const entry = m_table.find(flow.key);
-    if (entry == nullptr || !entry->isLive() || isVoid(*entry, flow)) {
+    const bool isUnknown
+        = entry == nullptr || !entry->isLive() || (flow.service->policy.repeatable && isVoid(*entry, flow));
+    if (isUnknown) {
         m_outbox.push_back({from, {BindingKind::NotFound, flow.name, {}, false}});
         return;
     }
@@ -109,10 +111,16 @@
 void FlowEngine::takeBinding(const BindingMessage &message, const FlowContext &flow, TimePoint now)
 {
     const TargetPlace place = m_routing.catalogue->targetAt(message.target, flow.service->protocol);
+    FlowEntry *entry = m_table.find(flow.key);
     if (place.service != flow.service || place.target->isQuarantined) {
+        // The target is gone. A flow that may not run twice keeps its place there all the same, and gets no
+        // other.
+        const bool mustKeep = !flow.service->policy.repeatable && entry == nullptr;
+        if (FlowEntry *const kept = mustKeep ? insertEntry(flow, 0, FlowState::Established, now) : nullptr) {
+            kept->set(FlowMark::Backup);
+        }
         return;
     }
-    FlowEntry *entry = m_table.find(flow.key);
     if (entry != nullptr && entry->target != place.target->id) {
         // The owner's word stands over a cached binding; a binding that is owned here or has ended yields to
         // no other.
--- a/lib/Node/trafficworker.cpp
+++ b/lib/Node/trafficworker.cpp
@@ -19,6 +19,7 @@
 {
     EngineLimits limits;
     limits.flows = settings.flowTableSize;
+    limits.threads = settings.trafficThreads;
     limits.replicaBytesPerSecond = settings.controlBudget / 4.0 / settings.trafficThreads;
     return limits;
 }
--- a/lib/Placement/cataloguebuilder.cpp
+++ b/lib/Placement/cataloguebuilder.cpp
@@ -114,9 +114,9 @@
         return before;
     }
     const bool mustAgree = !service.policy.repeatable || !before->policy.repeatable;
-    if (mustAgree && !hasSameTargets(*before, *table)) {
-        // What was held back already stays so: an instance may be two versions behind.
-        table->previous = before->previous ? before->previous : before;
+    if (before->previous || (mustAgree && !hasSameTargets(*before, *table))) {
+        // What was held back already stays so: an instance may place by any version since all last agreed.
+        table->previous = before;
     }
     return table;
 }
--- a/lib/Placement/servicetable.cpp
+++ b/lib/Placement/servicetable.cpp
@@ -46,4 +46,17 @@
     });
 }
 
+bool ServiceTable::isHeldBack(std::uint64_t flowHash) const
+{
+    const TargetEntry *const choice = settledChoice(flowHash);
+    for (const ServiceTable *table = previous.get(); table != nullptr; table = table->previous.get()) {
+        const TargetEntry *const earlier = table->settledChoice(flowHash);
+        const bool isSame = choice != nullptr && earlier != nullptr && earlier->id == choice->id;
+        if (!isSame) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace jasminequay
--- a/unittests/Control/fakefleet.cpp
+++ b/unittests/Control/fakefleet.cpp
@@ -10,10 +10,17 @@
 constexpr Duration StepInterval = std::chrono::milliseconds(5);
 constexpr std::size_t SweptSlots = 2048;
 
+static EngineLimits limitsOf(const InstanceSettings &settings)
+{
+    EngineLimits limits;
+    limits.flows = settings.flowTableSize;
+    return limits;
+}
+
 FakeInstance::FakeInstance(
     const InstanceSettings &settings, std::uint64_t incarnation, TimePoint now, const FleetSink &sink)
     : control(settings, incarnation, now, incarnation)
-    , engine(instanceIdOf(settings.instance), EngineLimits{settings.flowTableSize}, now)
+    , engine(instanceIdOf(settings.instance), limitsOf(settings), now)
     , m_settings(settings)
     , m_channel(instanceIdOf(settings.instance), settings.dataKey)
     , m_path(engine, m_channel, *this)
--- a/unittests/Control/fleetpromisetest.cpp
+++ b/unittests/Control/fleetpromisetest.cpp
@@ -130,6 +130,33 @@
     }
 }
 
+/// Promise 5: requests that wait for their answer at a target that the settings drop, or drop and bring back,
+/// reach no other target, whichever instance gets the repeated datagram.
+TEST(AtMostOnce, HoldsForRequestsAtATargetThatIsRemoved)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        SCOPED_TRACE(seed);
+        FakeFleet fleet(seed);
+        FleetWork work(fleet, usualServices());
+        startNamed(fleet, {"a", "b", "c", "d"}, usualServices());
+        work.muteTargets(true);
+        for (int flow = 0; flow < 100; ++flow) {
+            work.openUdp("reserve");
+        }
+        fleet.run(milliseconds(400));
+        std::vector<TreeService> services = usualServices();
+        services[2].targets.erase(services[2].targets.begin());
+        fleet.publish(writeTree(2, services));
+        fleet.run(seconds(2));
+        fleet.publish(writeTree(3, usualServices()));
+        fleet.run(milliseconds(300));
+        services[2].targets.front().state = "draining";
+        fleet.publish(writeTree(4, services));
+        fleet.run(seconds(6));
+        EXPECT_EQ(work.atTwoTargets("reserve"), 0U);
+    }
+}
+
 /// One service whose flows are quiet for longer than any instance caches their bindings.
 static std::vector<TreeService> quietService()
 {
--- a/unittests/Control/fleetwork.cpp
+++ b/unittests/Control/fleetwork.cpp
@@ -199,6 +199,9 @@
         m_targets.at(packet.destination)->receive(packet, m_fleet.now());
         return;
     }
+    if (m_areTargetsMute) {
+        return;
+    }
     m_pending.emplace_back(standin::makeUdp(packet.destination, packet.source, standin::udpPayload(packet)),
         FabricSide::Targets);
 }
--- a/unittests/Control/fleetwork.h
+++ b/unittests/Control/fleetwork.h
@@ -52,6 +52,12 @@
     /// Sends one more datagram of every UDP flow.
     void repeatAllUdp();
 
+    /// Makes UDP targets take requests without answering.
+    void muteTargets(bool areMute)
+    {
+        m_areTargetsMute = areMute;
+    }
+
     /// Opens flows of all services at an interval while the fleet runs.
     void openSteadily(Duration interval)
     {
@@ -134,6 +140,7 @@
     std::uint64_t m_crossed = 0;
     std::uint64_t m_bytesToTargets = 0;
     std::uint64_t m_bytesToCallers = 0;
+    bool m_areTargetsMute = false;
     Duration m_interval{};
     TimePoint m_openedAt;
 };
--- a/unittests/Flow/enginepeertest.cpp
+++ b/unittests/Flow/enginepeertest.cpp
@@ -141,6 +141,47 @@
     EXPECT_EQ(datagram(1).verb, Verb::Drop);
 }
 
+/// Promise 5: a target that drains and comes back holds back its flows, because an instance may still place
+/// by the version in between.
+TEST_F(EngineTest, EveryVersionThatSomebodyMayPlaceByHoldsItsFlowsBack)
+{
+    m_configuration.version = 2;
+    m_configuration.services[1].policy.repeatable = false;
+    adopt({Self}, {});
+    m_builder.settle();
+    adopt({Self}, {});
+    for (const TargetState state : {TargetState::Draining, TargetState::Serving}) {
+        ++m_configuration.version;
+        m_configuration.services[1].targets[0].state = state;
+        adopt({Self}, {});
+    }
+    ++m_configuration.version;
+    m_configuration.services[1].policy.bound = 3;
+    adopt({Self}, {});
+    int held = 0;
+    for (std::uint32_t number = 0; number < 400; ++number) {
+        const Decision decision = datagram(number);
+        held += decision.cause == DropCause::Quarantined ? 1 : 0;
+        EXPECT_NE(decision.endpoint, m_configuration.services[1].targets[0].address);
+    }
+    EXPECT_NEAR(held, 100, 40);
+}
+
+TEST_F(EngineTest, ANewFlowLimitThatChangesIsInForceAtOnce)
+{
+    m_configuration.version = 2;
+    m_configuration.services[0].policy.newFlowLimit = 1;
+    adopt({Self}, {});
+    EXPECT_EQ(fromCaller(1, Syn).verb, Verb::ToTarget);
+    EXPECT_EQ(fromCaller(2, Syn).verb, Verb::Refuse);
+    m_configuration.version = 3;
+    m_configuration.services[0].policy.newFlowLimit = 100;
+    adopt({Self}, {});
+    for (std::uint32_t number = 3; number < 90; ++number) {
+        EXPECT_EQ(fromCaller(number, Syn).verb, Verb::ToTarget);
+    }
+}
+
 TEST_F(EngineTest, RecordsHoldEveryByteOnce)
 {
     const Endpoint target = fromCaller(1, Syn).endpoint;
