Configure a build folder once

Ruled out: changed sources (the clone was untouched). Conclusion: the build system configures anew by itself when a CMake file changes.

--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -15,5 +15,6 @@
     apt-get update -q
     DEBIAN_FRONTEND=noninteractive apt-get install -q -y --no-install-recommends "${missing[@]}"
 fi
-cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
+# A second configuration would find packages in another order and rebuild half of everything.
+[ -f "$folder/build.ninja" ] || cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
 cmake --build "$folder"
