Let a paused instance catch up with the settings before it acts

Cause: an instance that slept, was unlisted meanwhile and so no longer waited for, ended its fence with its peers' answers and acted on old settings until it had fetched theirs. Ruled out: the lease at the traffic threads (it had been extended by then). Before: the new test failed. After: it passes; the fence ends with the settings of the peers, at the latest after five leases. Conclusion: answers alone do not make an instance current.

--- a/include/jasminequay/Membership/membertable.h
+++ b/include/jasminequay/Membership/membertable.h
@@ -138,6 +138,7 @@
     void ageMembers(TimePoint now);
     void refreshView();
     void detectPause(TimePoint now);
+    void endFenceIfInformed(TimePoint now);
     void endFence(TimePoint now);
     [[nodiscard]] bool isIsolated(TimePoint now) const;
     [[nodiscard]] bool answers(const Member &member) const;
--- a/lib/Membership/membertable.cpp
+++ b/lib/Membership/membertable.cpp
@@ -17,6 +17,9 @@
 /// An instance that woke from a pause waits at most this many leases for its peers' answers.
 constexpr int FenceLeases = 1;
 
+/// It waits at most this many leases for settings that peers have and do not hand over.
+constexpr int FenceLeasesAtMost = 5;
+
 static bool isNewer(const DigestEntry &entry, const DigestEntry &known)
 {
     if (entry.incarnation != known.incarnation) {
@@ -155,6 +158,23 @@
     }
 }
 
+/// The fence ends when every peer has answered, or has had a lease to do so, and when the settings are as new as theirs: the
+/// others may have stopped waiting for an instance that was unlisted while it slept.
+void MemberTable::endFenceIfInformed(TimePoint now)
+{
+    if (!m_isFenced) {
+        return;
+    }
+    const Duration waited = now - m_fencedAt;
+    const bool haveAllAnswered = std::all_of(
+        m_awaitedReplies.begin(), m_awaitedReplies.end(), [](const auto &item) { return item.second; });
+    const bool isBehind = m_self.settingsVersion < newestSettings().first;
+    const bool isInformed = (haveAllAnswered || waited > FenceLeases * m_timing.lease) && !isBehind;
+    if (isInformed || waited > FenceLeasesAtMost * m_timing.lease) {
+        endFence(now);
+    }
+}
+
 void MemberTable::endFence(TimePoint now)
 {
     m_isFenced = false;
@@ -201,9 +221,7 @@
 std::vector<OutgoingDigest> MemberTable::tick(TimePoint now)
 {
     detectPause(now);
-    if (m_isFenced && now - m_fencedAt > FenceLeases * m_timing.lease) {
-        endFence(now);
-    }
+    endFenceIfInformed(now);
     ++m_self.heartbeat;
     ageMembers(now);
     refreshView();
@@ -268,13 +286,9 @@
         found->second.peerData = digest.peerData;
         found->second.peerControl = digest.peerControl;
     }
-    if (const auto awaited = m_awaitedReplies.find(sender); m_isFenced && awaited != m_awaitedReplies.end()) {
+    if (const auto awaited = m_awaitedReplies.find(sender); awaited != m_awaitedReplies.end()) {
         awaited->second = true;
-        const bool haveAllAnswered = std::all_of(
-            m_awaitedReplies.begin(), m_awaitedReplies.end(), [](const auto &item) { return item.second; });
-        if (haveAllAnswered) {
-            endFence(now);
-        }
+        endFenceIfInformed(now);
     }
     refreshView();
     if (!digest.wantsReply) {
--- a/unittests/Membership/membershiptest.cpp
+++ b/unittests/Membership/membershiptest.cpp
@@ -140,6 +140,24 @@
     EXPECT_GT(network.tables[1]->rejoinedAt(), network.now - seconds(2));
 }
 
+/// An instance that slept through a change may have been unlisted meanwhile, so that the others no longer wait for it. It
+/// acts only with the settings that they have.
+TEST(Membership, APausedInstanceCatchesUpBeforeItActs)
+{
+    MemberNetwork network(4);
+    network.frozen[1] = true;
+    for (const std::size_t other : {0U, 2U, 3U}) {
+        network.tables[other]->setSettingsVersion(5);
+    }
+    network.run(seconds(5));
+    network.frozen[1] = false;
+    network.run(seconds(1));
+    EXPECT_TRUE(network.tables[1]->isFenced());
+    network.tables[1]->setSettingsVersion(5);
+    network.run(seconds(1));
+    EXPECT_FALSE(network.tables[1]->isFenced());
+}
+
 TEST(Membership, ARestartUnderTheSameNameIsALossAndANewMember)
 {
     MemberNetwork network(3);
