Let the fleet measures run for one placement; format

Ruled out: fewer flows, because the aim is one broken flow in 10,000. Conclusion: rows are independent and may be run apart.

--- a/benchmarks/fleetmeasures.cpp
+++ b/benchmarks/fleetmeasures.cpp
@@ -164,11 +164,15 @@
 int main(int argc, char **argv)
 {
     const bool isCsv = argc > 1 && std::strcmp(argv[1], "--csv") == 0;
+    const std::string only = argc > (isCsv ? 2 : 1) ? argv[isCsv ? 2 : 1] : "";
     std::printf(isCsv ? "policy,event,broken per million,exceptions,control bytes,answered\n"
                       : "policy                       event                            broken/10^6 "
                         "exceptions control B/s   answered\n");
     printBaselines(isCsv);
     for (const char *const placement : {"hash", "bounded", "least"}) {
+        if (!only.empty() && only != placement) {
+            continue;
+        }
         for (const bool isActive : {false, true}) {
             for (const Event &event : Events) {
                 measure(isCsv, placement, isActive, event);
--- a/lib/Membership/membertable.cpp
+++ b/lib/Membership/membertable.cpp
@@ -158,8 +158,8 @@
     }
 }
 
-/// The fence ends when every peer has answered, or has had a lease to do so, and when the settings are as new as theirs: the
-/// others may have stopped waiting for an instance that was unlisted while it slept.
+/// The fence ends when every peer has answered, or has had a lease to do so, and when the settings are as new
+/// as theirs: the others may have stopped waiting for an instance that was unlisted while it slept.
 void MemberTable::endFenceIfInformed(TimePoint now)
 {
     if (!m_isFenced) {
--- a/unittests/Membership/membershiptest.cpp
+++ b/unittests/Membership/membershiptest.cpp
@@ -140,8 +140,8 @@
     EXPECT_GT(network.tables[1]->rejoinedAt(), network.now - seconds(2));
 }
 
-/// An instance that slept through a change may have been unlisted meanwhile, so that the others no longer wait for it. It
-/// acts only with the settings that they have.
+/// An instance that slept through a change may have been unlisted meanwhile, so that the others no longer
+/// wait for it. It acts only with the settings that they have.
 TEST(Membership, APausedInstanceCatchesUpBeforeItActs)
 {
     MemberNetwork network(4);
