--- a/include/jasminequay/Flow/flowengine.h
+++ b/include/jasminequay/Flow/flowengine.h
@@ -192,6 +192,7 @@
     // bindings.cpp
     [[nodiscard]] FlowContext contextOf(const ServiceTable &service, Endpoint caller) const;
     [[nodiscard]] Duration cacheLease(const ServiceTable &service) const;
+    [[nodiscard]] bool isRemembered(const FlowEntry &entry, const ServiceTable &service, TimePoint now) const;
     [[nodiscard]] const ServiceTable *tableOf(ServiceId id) const;
     [[nodiscard]] Endpoint addressOf(TargetId id) const;
     FlowEntry *insertEntry(const FlowContext &flow, TargetId target, FlowState state, TimePoint now);
--- a/lib/Flow/bindings.cpp
+++ b/lib/Flow/bindings.cpp
@@ -30,6 +30,14 @@
     return std::min(m_limits.cacheLease, service.policy.idleTimeout / 4);
 }
 
+/// A cached binding that nobody used or confirmed for two leases no longer directs packets. It is only
+/// remembered, for a new owner that asks after the death of the one before.
+bool FlowEngine::isRemembered(const FlowEntry &entry, const ServiceTable &service, TimePoint now) const
+{
+    const bool isCached = !entry.has(FlowMark::Owned) && !entry.has(FlowMark::Backup);
+    return isCached && tickAt(now) - std::max(entry.lastSeen, entry.since) > 2 * ticks(cacheLease(service));
+}
+
 const ServiceTable *FlowEngine::tableOf(ServiceId id) const
 {
     if (const ServiceTable *const service = m_routing.catalogue->service(id); service != nullptr) {
--- a/lib/Flow/callerpath.cpp
+++ b/lib/Flow/callerpath.cpp
@@ -37,7 +37,8 @@
     if (!isError && (flow.owner == m_self || believedOwner)) {
         return decideAsOwner(packet, flow, origin, now);
     }
-    if (FlowEntry *const entry = m_table.find(flow.key); entry != nullptr) {
+    FlowEntry *const entry = m_table.find(flow.key);
+    if (entry != nullptr && !isRemembered(*entry, *service, now)) {
         const Duration lease = cacheLease(*service);
         const bool isStale = tickAt(now) - entry->since > ticks(lease);
         const bool needsOwner = !isError && (packet.flags.opens() || packet.flags.closes() || isStale);
--- a/lib/Flow/sweep.cpp
+++ b/lib/Flow/sweep.cpp
@@ -100,10 +100,6 @@
         return silent > ticks(service.policy.handshakeTimeout) ? std::optional(EndCause::NoAnswer)
                                                                : std::nullopt;
     }
-    const bool isCached = !entry.has(FlowMark::Owned) && !entry.has(FlowMark::Backup);
-    if (isCached && silent > 2 * ticks(cacheLease(service))) {
-        return EndCause::Released;
-    }
     const Duration patience = service.policy.idleTimeout * (entry.has(FlowMark::Backup) ? 2 : 1);
     return silent > ticks(patience) ? std::optional(EndCause::Idle) : std::nullopt;
 }
--- a/lib/Flow/targetpath.cpp
+++ b/lib/Flow/targetpath.cpp
@@ -39,6 +39,11 @@
         return Decision::toCaller(place.service->address);
     }
     FlowEntry *entry = m_table.find(flow.key);
+    if (entry != nullptr && isRemembered(*entry, *flow.service, now)) {
+        // The answer tells more than a memory does.
+        forget(*entry, EndCause::Released);
+        entry = nullptr;
+    }
     const bool isPassedOn = hops == 0 && flow.owner != origin && mustPassOwner(packet, flow, entry);
     if (entry == nullptr) {
         entry = learn(packet, flow, place, now);
