--- a/benchmarks/flowbenchmark.cpp
+++ b/benchmarks/flowbenchmark.cpp
@@ -15,16 +15,23 @@
 
 using standin::Bytes;
 
-static void lookup(benchmark::State &state)
+/// Fills a table and returns its keys in a random order.
+static std::vector<FlowKey> fillTable(FlowTable &table, std::size_t flows)
 {
-    const auto flows = static_cast<std::size_t>(state.range(0));
-    FlowTable table(flows);
     std::vector<FlowKey> keys;
     for (std::size_t number = 0; number < flows; ++number) {
         keys.push_back(FlowKey::of(callerAddress(number), static_cast<ServiceId>(number % 74)));
         table.insert(keys.back());
     }
     std::shuffle(keys.begin(), keys.end(), std::mt19937_64(1));
+    return keys;
+}
+
+static void lookup(benchmark::State &state)
+{
+    const auto flows = static_cast<std::size_t>(state.range(0));
+    FlowTable table(flows);
+    const std::vector<FlowKey> keys = fillTable(table, flows);
     std::size_t next = 0;
     for (auto _ : state) {
         benchmark::DoNotOptimize(table.find(keys[next]));
@@ -41,12 +48,7 @@
     constexpr std::size_t Batch = 32;
     const auto flows = static_cast<std::size_t>(state.range(0));
     FlowTable table(flows);
-    std::vector<FlowKey> keys;
-    for (std::size_t number = 0; number < flows; ++number) {
-        keys.push_back(FlowKey::of(callerAddress(number), static_cast<ServiceId>(number % 74)));
-        table.insert(keys.back());
-    }
-    std::shuffle(keys.begin(), keys.end(), std::mt19937_64(1));
+    const std::vector<FlowKey> keys = fillTable(table, flows);
     std::size_t next = 0;
     for (auto _ : state) {
         for (std::size_t index = 0; index < Batch; ++index) {
--- a/include/jasminequay/Control/instancecontrol.h
+++ b/include/jasminequay/Control/instancecontrol.h
@@ -55,10 +55,10 @@
     void onEngineBindings(const std::vector<OutgoingBinding> &bindings);
 
     /// Notes that every engine has gone through its table for a version.
-    void onSwept(std::uint64_t version, TimePoint now);
+    void onSwept(std::uint64_t version);
 
     /// Starts a graceful leave: the instance owns nothing from now on and goes on forwarding.
-    void beginLeave(TimePoint now);
+    void beginLeave();
 
     /// Takes the messages to send.
     std::vector<OutgoingControl> takeOutgoing()
--- a/include/jasminequay/Packet/packetview.h
+++ b/include/jasminequay/Packet/packetview.h
@@ -42,6 +42,12 @@
     std::uint16_t quotedOffset
         = 0; ///< Where the quoted IPv4 header starts; zero unless this is an ICMP error.
 
+    /// Tells whether the packet may be the first of its flow; any datagram may.
+    [[nodiscard]] bool mayOpenFlow() const
+    {
+        return protocol == Protocol::Udp || flags.opens();
+    }
+
     /// Tells whether the packet is an ICMP error about a packet that went the other way.
     [[nodiscard]] bool isIcmpError() const
     {
--- a/lib/Control/instancecontrol.cpp
+++ b/lib/Control/instancecontrol.cpp
@@ -282,9 +282,8 @@
     }
 }
 
-void InstanceControl::onSwept(std::uint64_t version, TimePoint now)
+void InstanceControl::onSwept(std::uint64_t version)
 {
-    static_cast<void>(now);
     const bool wasConfirmed = m_settings.isConfirmedHere();
     m_settings.noteSwept(version);
     if (wasConfirmed || !m_settings.isConfirmedHere()) {
@@ -295,14 +294,13 @@
     }
 }
 
-void InstanceControl::beginLeave(TimePoint now)
+void InstanceControl::beginLeave()
 {
     m_members.setPhase(MemberPhase::Leaving);
     // Everyone hears it now and not with the next heartbeats.
     for (const auto &[name, member] : m_members.members()) {
         sendDigests(m_members.digestFor(name));
     }
-    static_cast<void>(now);
 }
 
 std::optional<RoutingSnapshot> InstanceControl::takeSnapshot(TimePoint now)
--- a/lib/Flow/callerpath.cpp
+++ b/lib/Flow/callerpath.cpp
@@ -10,11 +10,6 @@
 /// While the owner is silent about a stale binding, one packet in this time goes through the owner.
 constexpr Duration OwnerRetryInterval = std::chrono::seconds(2);
 
-static bool mayOpenFlow(const PacketView &packet)
-{
-    return packet.protocol == Protocol::Udp || packet.flags.opens();
-}
-
 Decision FlowEngine::onCallerPacket(
     const PacketView &packet, InstanceId origin, std::uint8_t hops, TimePoint now)
 {
@@ -93,7 +88,7 @@
     if (entry != nullptr && isVoid(*entry, flow)) {
         // A flow that may have reached a target never reaches a second one, unless a repeated request does no
         // harm.
-        const bool mayMove = mayOpenFlow(packet) && (flow.service->policy.repeatable || !entry->isLive());
+        const bool mayMove = packet.mayOpenFlow() && (flow.service->policy.repeatable || !entry->isLive());
         if (!mayMove) {
             entry->lastSeen = tickAt(now);
             return Decision::drop(DropCause::NoTarget);
@@ -153,7 +148,7 @@
         // An instance that does not answer may hold the flow at a target that the settings no longer give.
         return Decision::drop(DropCause::AwaitingBinding);
     }
-    const bool isNew = mayOpenFlow(packet);
+    const bool isNew = packet.mayOpenFlow();
     const bool mustAsk = !isNew || mayHaveBeenPlaced(flow, now);
     if (mustAsk && !m_routing.ownership->peers().empty()) {
         return startQuery(packet, flow, origin, now) ? Decision::hold()
--- a/lib/Flow/transfer.cpp
+++ b/lib/Flow/transfer.cpp
@@ -173,8 +173,8 @@
         // A peer that did not answer may know another target.
         decision = Decision::drop(DropCause::AwaitingBinding);
     } else {
-        const bool isNew = packet.protocol == Protocol::Udp || packet.flags.opens();
-        decision = recorded(isNew ? place(packet, flow, now) : resume(packet, flow, now), flow);
+        decision
+            = recorded(packet.mayOpenFlow() ? place(packet, flow, now) : resume(packet, flow, now), flow);
     }
     decision.answersOrigin = query.origin != InstanceId{} && decision.verb == Verb::ToTarget;
     m_released.push_back({std::move(query.packet), decision, query.origin});
--- a/lib/Node/nodecontrol.cpp
+++ b/lib/Node/nodecontrol.cpp
@@ -237,7 +237,7 @@
 {
     m_sweptVersions[worker] = version;
     const TimePoint now = currentTime();
-    m_control.onSwept(*std::min_element(m_sweptVersions.begin(), m_sweptVersions.end()), now);
+    m_control.onSwept(*std::min_element(m_sweptVersions.begin(), m_sweptVersions.end()));
     publish(now);
 }
 
--- a/lib/Node/nodeleave.cpp
+++ b/lib/Node/nodeleave.cpp
@@ -38,7 +38,7 @@
     m_isLeaving = true;
     m_leaveStarted = now;
     m_quietSince = now;
-    m_control.beginLeave(now);
+    m_control.beginLeave();
     publish(now);
     LogEvent(Severity::Info, "instance-leaving").with("flows", traffic().flows);
 }
--- a/unittests/Control/fakefleet.cpp
+++ b/unittests/Control/fakefleet.cpp
@@ -64,10 +64,10 @@
         engine.onBinding(binding.from, binding.message, now);
     }
     engine.sweep(SweptSlots, now);
-    finish(now);
+    finish();
 }
 
-void FakeInstance::finish(TimePoint now)
+void FakeInstance::finish()
 {
     engine.extendLease(control.leaseUntil());
     std::vector<OutgoingBinding> forControl;
@@ -81,20 +81,20 @@
     }
     if (engine.sweptVersion() != m_reportedVersion) {
         m_reportedVersion = engine.sweptVersion();
-        control.onSwept(m_reportedVersion, now);
+        control.onSwept(m_reportedVersion);
     }
 }
 
 void FakeInstance::onFabric(standin::Bytes packet, FabricSide side, TimePoint now)
 {
     m_path.onFabricPacket(packet, side, now);
-    finish(now);
+    finish();
 }
 
 void FakeInstance::onPeerData(const standin::Bytes &datagram, TimePoint now)
 {
     m_path.onPeerDatagram(datagram, now);
-    finish(now);
+    finish();
 }
 
 FakeFleet::FakeFleet(std::uint64_t seed, std::uint32_t flowTableSize)
@@ -151,7 +151,7 @@
 void FakeFleet::leave(const std::string &name)
 {
     at(name).isLeaving = true;
-    at(name).control.beginLeave(m_now);
+    at(name).control.beginLeave();
     for (ListedInstance &listed : m_list.instances) {
         listed.isLeaving = listed.isLeaving || listed.name == name;
     }
--- a/unittests/Control/fakefleet.h
+++ b/unittests/Control/fakefleet.h
@@ -80,7 +80,7 @@
     void toTargets(std::span<const std::uint8_t> packet) override;
     void toCallers(std::span<const std::uint8_t> packet) override;
     void toPeer(std::span<const std::uint8_t> datagram, Endpoint peer) override;
-    void finish(TimePoint now);
+    void finish();
 
     InstanceSettings m_settings;
     DataChannel m_channel;
