--- a/include/jasminequay/Fabric/datagrambatch.h
+++ b/include/jasminequay/Fabric/datagrambatch.h
@@ -22,7 +22,8 @@
 class DatagramBatch
 {
 public:
-    DatagramBatch();
+    /// `headroom` bytes stay free before each datagram, for what is to be sent before it.
+    explicit DatagramBatch(std::size_t headroom = 0);
 
     /// Receives what has arrived, up to a batch. Returns the number of datagrams; zero where there is none.
     std::size_t receive(const UdpSocket &socket);
@@ -30,7 +31,11 @@
     /// Returns the bytes of a datagram; empty if it was larger than a buffer.
     [[nodiscard]] std::span<std::uint8_t> datagram(std::size_t index);
 
+    /// Returns the headroom before a datagram together with its bytes.
+    [[nodiscard]] std::span<std::uint8_t> datagramWithHeadroom(std::size_t index);
+
 private:
+    std::size_t m_headroom;
     std::vector<std::array<std::uint8_t, MaximumDatagram>> m_buffers;
     std::array<iovec, BatchSize> m_vectors{};
     std::array<mmsghdr, BatchSize> m_headers{};
--- /dev/null
+++ b/include/jasminequay/Node/steeringnode.h
@@ -0,0 +1,128 @@
+// One instance that steers by token, as a process.
+#pragma once
+
+#include "jasminequay/Node/directoryfeed.h"
+#include "jasminequay/Node/steeringcontrol.h"
+#include "jasminequay/Node/steeringpath.h"
+#include "jasminequay/Support/logevent.h"
+#include "jasminequay/Support/timerservice.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace jasminequay
+{
+
+/// An attachment with its store.
+template <typename Attachment>
+concept SteeringDeployment = SteeringAttachment<Attachment> && DirectoryStore<typename Attachment::Store>;
+
+/// Runs an instance on one thread: packets, reads of the store, peers and pages take turns, as a decision costs
+/// microseconds and the platform runs one thread at a time.
+template <SteeringDeployment Attachment> class SteeringNode
+{
+public:
+    explicit SteeringNode(const SteeringInstanceSettings &settings)
+        : m_settings(settings)
+        , m_control(m_context, settings)
+        , m_path(m_context, m_control.engine(),
+              {[this]() { return m_control.isLoaded(); },
+                  [this](const PacketSummary &packet, const SteeringDecision &decision, TimePoint now) {
+                      m_control.noteDecision(packet, decision, now);
+                  }})
+        , m_feed(m_context, typename Attachment::Store(settings.store),
+              {[this](TimePoint now) { return m_control.nextRead(now); },
+                  [this](const StoreAnswer &answer, TimePoint startedAt, TimePoint now) {
+                      m_control.takeAnswer(answer, startedAt, now);
+                      m_path.wake();
+                  }})
+        , m_readiness(m_context, [this](const std::string &) { return readinessPage(); })
+        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_tickTimer(m_context)
+    {
+    }
+
+    /// Opens everything and runs until the process is told to stop.
+    Result<void> run()
+    {
+        m_feed.start(m_context);
+        BOOST_LEAF_CHECK(m_path.open(m_context, m_settings.packets));
+        BOOST_LEAF_CHECK(m_readiness.open(m_settings.readiness));
+        LogEvent(Severity::Info, "instance-started")
+            .with("instance", m_settings.instance)
+            .with("data_centre", m_settings.dataCentre)
+            .with("packets", format(m_settings.packets));
+        awaitStop();
+        scheduleTick();
+        m_context.run();
+        LogEvent(Severity::Info, "instance-stopped").with("instance", m_settings.instance);
+        return {};
+    }
+
+private:
+    static constexpr auto TickInterval = std::chrono::milliseconds(50);
+
+    /// An instance leaves once the fabric has sent nothing for this long.
+    static constexpr Duration QuietBeforeStop = std::chrono::milliseconds(700);
+    /// The fabric notices within a second that the instance is not ready.
+    static constexpr Duration LeastLeave = std::chrono::milliseconds(1200);
+    /// Kept of the grace period for the end of the process itself.
+    static constexpr Duration StopMargin = std::chrono::milliseconds(500);
+
+    OperatorPage readinessPage() const
+    {
+        return m_control.isReady() ? OperatorPage{200, "ready\n"} : OperatorPage{503, "not ready\n"};
+    }
+
+    void awaitStop()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (m_leavingSince != TimePoint{}) {
+                m_context.stop();
+                return;
+            }
+            m_leavingSince = bootTime();
+            m_control.beginLeave(m_leavingSince);
+            LogEvent(Severity::Info, "leave-begun").with("signal", signal);
+            awaitStop();
+        });
+    }
+
+    void scheduleTick()
+    {
+        m_tickTimer.expires_after(TickInterval);
+        m_tickTimer.async_wait([this](const boost::system::error_code &) {
+            const TimePoint now = bootTime();
+            m_path.sendResets(m_control.tick(now));
+            if (isDone(now)) {
+                m_context.stop();
+                return;
+            }
+            scheduleTick();
+        });
+    }
+
+    [[nodiscard]] bool isDone(TimePoint now) const
+    {
+        if (m_leavingSince == TimePoint{}) {
+            return false;
+        }
+        const Duration leaving = now - m_leavingSince;
+        const bool isQuiet = leaving >= LeastLeave && now - m_path.lastPacketAt() >= QuietBeforeStop;
+        return isQuiet || leaving >= m_settings.gracePeriod - StopMargin;
+    }
+
+    SteeringInstanceSettings m_settings;
+    boost::asio::io_context m_context{1};
+    SteeringControl m_control;
+    SteeringPath<Attachment> m_path;
+    DirectoryFeed<typename Attachment::Store> m_feed;
+    OperatorServer m_readiness;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tickTimer;
+    TimePoint m_leavingSince;
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Node/steeringpath.h
@@ -0,0 +1,231 @@
+// The packets of callers: read, decided about and sent on.
+#pragma once
+
+#include "jasminequay/Fabric/datagrambatch.h"
+#include "jasminequay/Fabric/datagramsender.h"
+#include "jasminequay/Steering/steeringengine.h"
+#include "jasminequay/Support/bootclock.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// How an attachment writes packets: its heads, where tokens go, and what stands before a packet that is sent
+/// to a target.
+template <typename Attachment>
+concept SteeringAttachment = SteeredPacket<typename Attachment::Packet>
+    && requires(std::span<std::uint8_t> bytes, SteeredFlow flow, std::uint32_t sequence, SteeringToken token,
+        std::uint64_t target)
+{
+    { Attachment::Packet::parse(bytes) } -> std::same_as<std::optional<typename Attachment::Packet>>;
+    { Attachment::writeForward(bytes, target, token) };
+    { Attachment::Packet::makeReset(flow, sequence) };
+    { Attachment::Headroom } -> std::convertible_to<std::size_t>;
+};
+
+/// Counters of the packet path.
+struct PathCounters {
+    std::uint64_t packets = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t resets = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t unsent = 0; ///< Packets that the kernel did not take.
+    std::array<std::uint64_t, 12> latencyBuckets{}; ///< Of decisions; bucket n is below 2^n microseconds.
+    std::uint64_t latencyNanoseconds = 0; ///< The sum over all decisions.
+};
+
+/// What the owner of a path provides.
+struct PathHooks {
+    std::function<bool()> maySteer; ///< Whether packets may be read now; others wait in the socket.
+    /// Told of each decision that is not a plain forward.
+    std::function<void(const PacketSummary &, const SteeringDecision &, TimePoint)> note;
+};
+
+/// Moves packets between the socket of callers' packets and the engine.
+template <SteeringAttachment Attachment> class SteeringPath
+{
+public:
+    SteeringPath(boost::asio::io_context &context, SteeringEngine &engine, PathHooks hooks)
+        : m_engine(engine)
+        , m_hooks(std::move(hooks))
+        , m_readable(context)
+        , m_timer(context)
+        , m_batch(Attachment::Headroom)
+    {
+    }
+
+    ~SteeringPath()
+    {
+        m_readable.release();
+    }
+    SteeringPath(const SteeringPath &) = delete;
+    SteeringPath &operator=(const SteeringPath &) = delete;
+
+    /// Opens the socket and starts to read.
+    Result<void> open(boost::asio::io_context &context, Endpoint address)
+    {
+        BOOST_LEAF_ASSIGN(m_socket, UdpSocket::bindShared(address));
+        m_port = address.port;
+        m_readable.assign(m_socket.descriptor());
+        boost::asio::co_spawn(context, run(), boost::asio::detached);
+        return {};
+    }
+
+    /// Sends resets that no packet asked for.
+    void sendResets(const std::vector<PendingReset> &resets)
+    {
+        for (const PendingReset &reset : resets) {
+            queueReset(reset.flow, reset.sequence);
+        }
+        flush();
+    }
+
+    /// Starts reading again at once after maySteer() has changed.
+    void wake()
+    {
+        m_timer.cancel();
+    }
+
+    [[nodiscard]] const PathCounters &counters() const
+    {
+        return m_counters;
+    }
+
+    /// Returns when the last packet came.
+    [[nodiscard]] TimePoint lastPacketAt() const
+    {
+        return m_lastPacketAt;
+    }
+
+private:
+    using Reset = decltype(Attachment::Packet::makeReset(SteeredFlow{}, 0));
+
+    /// Batches read before other work gets its turn.
+    static constexpr unsigned BatchesInARow = 4;
+    static constexpr auto HeldInterval = std::chrono::milliseconds(10);
+
+    boost::asio::awaitable<void> run()
+    {
+        boost::system::error_code ignored; // a reading that fails is tried again
+        while (true) {
+            if (!m_hooks.maySteer()) {
+                m_timer.expires_after(HeldInterval);
+                co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+                continue;
+            }
+            co_await m_readable.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            for (unsigned round = 0; round < BatchesInARow && m_hooks.maySteer(); ++round) {
+                if (readBatch() < BatchSize) {
+                    break;
+                }
+            }
+        }
+    }
+
+    std::size_t readBatch()
+    {
+        const std::size_t count = m_batch.receive(m_socket);
+        const TimePoint startedAt = bootTime();
+        for (std::size_t index = 0; index < count; ++index) {
+            handle(index, startedAt);
+        }
+        flush();
+        if (count > 0) {
+            m_lastPacketAt = startedAt;
+            noteLatency(count, bootTime() - startedAt);
+        }
+        return count;
+    }
+
+    void handle(std::size_t index, TimePoint now)
+    {
+        ++m_counters.packets;
+        const std::optional<typename Attachment::Packet> packet
+            = Attachment::Packet::parse(m_batch.datagram(index));
+        if (!packet) {
+            ++m_counters.malformed;
+            return;
+        }
+        const PacketSummary summary = summarize(*packet);
+        const SteeringDecision decision = m_engine.decideSummary(summary, now);
+        switch (decision.action) {
+        case SteeringAction::Forward: {
+            const std::span<std::uint8_t> whole = m_batch.datagramWithHeadroom(index);
+            Attachment::writeForward(whole, decision.targetId, decision.token);
+            queue(whole, decision.target);
+            ++m_counters.forwarded;
+            break;
+        }
+        case SteeringAction::Reset:
+            queueReset(summary.flow, decision.resetSequence);
+            break;
+        case SteeringAction::Drop:
+            break;
+        }
+        m_hooks.note(summary, decision, now);
+    }
+
+    void queueReset(const SteeredFlow &flow, std::uint32_t sequence)
+    {
+        if (m_resetCount == m_resets.size()) {
+            flush();
+        }
+        Reset &reset = m_resets[m_resetCount++];
+        reset = Attachment::Packet::makeReset(flow, sequence);
+        queue(reset, Endpoint{flow.caller.address, m_port});
+        ++m_counters.resets;
+    }
+
+    void queue(std::span<const std::uint8_t> bytes, Endpoint to)
+    {
+        if (m_sender.isFull()) {
+            m_counters.unsent += m_sender.flush(m_socket);
+        }
+        m_sender.queue(bytes, &to);
+    }
+
+    void flush()
+    {
+        m_counters.unsent += m_sender.flush(m_socket);
+        m_resetCount = 0;
+    }
+
+    void noteLatency(std::size_t count, Duration taken)
+    {
+        const auto perPacket = static_cast<std::uint64_t>(taken.count()) / count;
+        const std::size_t bucket = std::bit_width(perPacket / 1000);
+        m_counters.latencyBuckets[std::min(bucket, m_counters.latencyBuckets.size() - 1)] += count;
+        m_counters.latencyNanoseconds += static_cast<std::uint64_t>(taken.count());
+    }
+
+    SteeringEngine &m_engine;
+    PathHooks m_hooks;
+    UdpSocket m_socket;
+    boost::asio::posix::stream_descriptor m_readable;
+    boost::asio::steady_timer m_timer;
+    DatagramBatch m_batch;
+    DatagramSender m_sender;
+    std::array<Reset, BatchSize> m_resets{};
+    std::size_t m_resetCount = 0;
+    std::uint16_t m_port = 0;
+    PathCounters m_counters;
+    TimePoint m_lastPacketAt;
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -0,0 +1,47 @@
+// The settings of one instance that steers by token: its addresses, data centre, store, seeds and bounds.
+#pragma once
+
+#include "jasminequay/Packet/endpoint.h"
+#include "jasminequay/Settings/mistake.h"
+#include "jasminequay/Support/timepoint.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// The settings file of `jasminequay steer`.
+struct SteeringInstanceSettings {
+    std::string instance;
+    std::string dataCentre;
+    Endpoint packets; ///< Where callers' packets arrive; resets go to the same port at the caller.
+    Endpoint readiness; ///< Where the fabric asks whether the instance would serve.
+    Endpoint control; ///< Metrics, and what peers fetch.
+    Endpoint store; ///< The operators' store of settings and targets.
+    std::uint16_t peerPort = 0; ///< The UDP port of peers' messages, the same at all instances.
+    std::vector<Endpoint> seeds; ///< Control addresses of instances to find the others by; any may be down.
+    bool isFirstStart = false; ///< Whether the whole fleet starts for the first time.
+    Duration settingsBound = std::chrono::seconds(3); ///< How soon a change must be in force everywhere.
+    Duration gracePeriod = std::chrono::seconds(6); ///< The time between SIGTERM and SIGKILL.
+    Duration flowLifetime = std::chrono::seconds(60); ///< How long a silent flow is remembered.
+    Duration targetHeartbeat = std::chrono::seconds(1); ///< How often targets renew their entries.
+    std::uint32_t storeReadsPerSecond = 2000; ///< The budget of the whole fleet.
+    std::uint32_t flowMemory = 65536; ///< The flows that are remembered.
+    std::string logLevel = "info";
+};
+
+/// Settings, usable only when there are no mistakes.
+struct ParsedSteeringInstanceSettings {
+    SteeringInstanceSettings settings;
+    Mistakes mistakes;
+};
+
+/// Parses and checks the settings file. Any bytes are safe.
+ParsedSteeringInstanceSettings parseSteeringInstanceSettings(const std::string &text);
+
+/// Tells whether a text holds settings of an instance that steers by token rather than of one that owns flows.
+bool isSteeringInstanceSettings(const std::string &text);
+
+} // namespace jasminequay
--- a/include/jasminequay/Support/logevent.h
+++ b/include/jasminequay/Support/logevent.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -12,6 +13,13 @@
 /// How serious an event is.
 enum class Severity : std::uint8_t { Info, Warning, Error };
 
+/// Takes the finished lines of events. `event` is the event's name, `pairs` all of the line.
+using LogSink = std::function<void(Severity severity, std::string_view event, const std::string &pairs)>;
+
+/// Sends all further events to a sink in place of glog; an empty one returns to glog. Not to be called while
+/// other threads log.
+void setLogSink(LogSink sink);
+
 /// Returns the value as it stands in a key=value line: quoted and escaped when it holds a space, quote or
 /// '='.
 std::string quotedValue(std::string_view value);
@@ -37,6 +45,7 @@
 
 private:
     Severity m_severity;
+    std::string m_event;
     std::string m_line;
 };
 
--- a/lib/Record/burnreport.cpp
+++ b/lib/Record/burnreport.cpp
@@ -1,6 +1,6 @@
 #include "jasminequay/Record/burnreport.h"
 
-#include <boost/json/src.hpp>
+#include <boost/json.hpp>
 
 #include <algorithm>
 #include <iomanip>
--- a/lib/Settings/instancesettings.cpp
+++ b/lib/Settings/instancesettings.cpp
@@ -1,6 +1,6 @@
 #include "jasminequay/Settings/instancesettings.h"
 
-#include "jasminequay/Support/units.h"
+#include "settingparsers.h"
 #include "yamldocument.h"
 #include "yamlmapping.h"
 
@@ -13,13 +13,6 @@
 constexpr std::size_t CurveKeySize = 40;
 constexpr std::size_t DataKeySize = 64;
 
-static std::optional<std::string> parseName(std::string_view text)
-{
-    const bool isName
-        = !text.empty() && text.size() <= 64 && text.find_first_of(" \t\r\n\"=/") == std::string_view::npos;
-    return isName ? std::optional<std::string>(text) : std::nullopt;
-}
-
 static std::optional<std::string> parseCurveKey(std::string_view text)
 {
     return text.size() == CurveKeySize ? std::optional<std::string>(text) : std::nullopt;
@@ -33,24 +26,11 @@
     return isKey ? std::optional<std::string>(text) : std::nullopt;
 }
 
-static std::optional<std::string> parseLogLevel(std::string_view text)
-{
-    const bool isLevel = text == "info" || text == "warning" || text == "error";
-    return isLevel ? std::optional<std::string>(text) : std::nullopt;
-}
-
 static std::optional<std::string> parseText(std::string_view text)
 {
     return std::string(text);
 }
 
-template <std::uint64_t Least, std::uint64_t Most>
-static std::optional<std::uint64_t> parseWithin(std::string_view text)
-{
-    const std::optional<std::uint64_t> number = parseNumber(text);
-    return number && *number >= Least && *number <= Most ? number : std::nullopt;
-}
-
 static std::optional<Duration> parseInterval(std::string_view text)
 {
     const std::optional<Duration> interval = parseDuration(text);
--- /dev/null
+++ b/lib/Steering/directoryupdate.cpp
@@ -0,0 +1,20 @@
+#include "jasminequay/Steering/directoryupdate.h"
+
+#include "jasminequay/Support/enumnames.h"
+
+namespace jasminequay
+{
+
+static constexpr EnumNames<StoreOutcome, 4> StoreOutcomeNames{{
+    {StoreOutcome::Answered, "answered"},
+    {StoreOutcome::HistoryLost, "history-lost"},
+    {StoreOutcome::Refused, "refused"},
+    {StoreOutcome::Failed, "failed"},
+}};
+
+std::string_view storeOutcomeName(StoreOutcome outcome)
+{
+    return nameIn(StoreOutcomeNames, outcome);
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Steering/routetable.cpp
@@ -0,0 +1,48 @@
+#include "jasminequay/Steering/routetable.h"
+
+#include "jasminequay/Placement/rendezvous.h"
+#include "jasminequay/Support/hash.h"
+
+#include <algorithm>
+
+namespace jasminequay
+{
+
+bool RouteTable::adopt(RouteConfiguration configuration)
+{
+    if (configuration.version <= m_configuration.version) {
+        return false;
+    }
+    m_configuration = std::move(configuration);
+    m_byAddress.clear();
+    m_byAddress.reserve(m_configuration.routes.size());
+    for (const Route &route : m_configuration.routes) {
+        m_byAddress[route.address.packed()] = &route;
+    }
+    return true;
+}
+
+const Route *RouteTable::at(Endpoint address) const
+{
+    const auto found = m_byAddress.find(address.packed());
+    return found == m_byAddress.end() ? nullptr : found->second;
+}
+
+std::vector<const WeightedService *> serviceOrder(const Route &route, std::uint64_t flowHash)
+{
+    std::vector<std::pair<double, const WeightedService *>> scored;
+    for (const WeightedService &candidate : route.services) {
+        if (candidate.weight > 0) {
+            const double score = rendezvousScore(flowHash, hashText(candidate.service), candidate.weight);
+            scored.emplace_back(score, &candidate);
+        }
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    std::vector<const WeightedService *> order;
+    for (const auto &[score, candidate] : scored) {
+        order.push_back(candidate);
+    }
+    return order;
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Steering/targetdirectory.cpp
@@ -0,0 +1,241 @@
+#include "jasminequay/Steering/targetdirectory.h"
+
+#include "jasminequay/Support/enumnames.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jasminequay
+{
+
+static constexpr EnumNames<TargetPresence, 3> TargetPresenceNames{{
+    {TargetPresence::Listed, "listed"},
+    {TargetPresence::Lapsed, "lapsed"},
+    {TargetPresence::Gone, "gone"},
+}};
+
+std::string_view targetPresenceName(TargetPresence presence)
+{
+    return nameIn(TargetPresenceNames, presence);
+}
+
+TargetDirectory::TargetDirectory(DirectoryTiming timing)
+    : m_timing(timing)
+{
+}
+
+KnownTarget *TargetDirectory::find(std::uint64_t key)
+{
+    const auto found = m_targets.find(key);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+void TargetDirectory::put(const TargetRecord &record, TimePoint now)
+{
+    if (const auto removal = m_removals.find(record.name);
+        removal != m_removals.end() && removal->second >= record.revision) {
+        return;
+    }
+    const std::uint64_t key = record.identity.key();
+    if (const auto named = m_byName.find(record.name); named != m_byName.end()) {
+        KnownTarget *const newest = find(named->second);
+        if (newest != nullptr && newest->record.revision > record.revision) {
+            return;
+        }
+        // Another start of the same id: the flows of the one before are lost.
+        if (newest != nullptr && named->second != key) {
+            end(*newest, now);
+        }
+    }
+    const auto [position, isNew] = m_targets.try_emplace(key);
+    KnownTarget &target = position->second;
+    const bool wasDraining = target.record.isDraining;
+    target.record = record;
+    target.key = key;
+    target.warmAt = now + record.warmUpLeft;
+    if (isNew || target.presence != TargetPresence::Listed) {
+        target.presence = TargetPresence::Listed;
+        target.presenceSince = now;
+    }
+    if (record.isDraining && !wasDraining) {
+        target.drainingSince = now;
+    }
+    m_byName[record.name] = key;
+    endOthersAt(record.address, key, now);
+    m_areIndexesStale = true;
+}
+
+/// An address belongs to one target at a time: whoever had it before has ended.
+void TargetDirectory::endOthersAt(Endpoint address, std::uint64_t key, TimePoint now)
+{
+    const auto [position, isNew] = m_byAddress.try_emplace(address.packed(), key);
+    if (isNew || position->second == key) {
+        return;
+    }
+    KnownTarget *const other = find(position->second);
+    const bool isNewer = other == nullptr || other->record.address != address
+        || other->record.revision < m_targets.at(key).record.revision;
+    if (!isNewer) {
+        end(m_targets.at(key), now);
+        return;
+    }
+    position->second = key;
+    if (other != nullptr && other->record.address == address) {
+        end(*other, now);
+    }
+}
+
+void TargetDirectory::end(KnownTarget &target, TimePoint now)
+{
+    if (target.presence != TargetPresence::Gone) {
+        target.presence = TargetPresence::Gone;
+        target.presenceSince = now;
+        m_areIndexesStale = true;
+    }
+}
+
+void TargetDirectory::remove(const std::string &name, std::uint64_t revision, TimePoint now)
+{
+    std::uint64_t &removal = m_removals[name];
+    removal = std::max(removal, revision);
+    const auto named = m_byName.find(name);
+    KnownTarget *const target = named == m_byName.end() ? nullptr : find(named->second);
+    if (target == nullptr || target->record.revision > revision
+        || target->presence != TargetPresence::Listed) {
+        return;
+    }
+    target->presence = TargetPresence::Lapsed;
+    target->presenceSince = now;
+}
+
+void TargetDirectory::replaceAll(
+    const std::vector<TargetRecord> &records, std::uint64_t revision, TimePoint now)
+{
+    std::set<std::string> names;
+    for (const TargetRecord &record : records) {
+        names.insert(record.name);
+        put(record, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[key, target] : m_targets) {
+        const bool isMissing = target.presence == TargetPresence::Listed
+            && !names.contains(target.record.name) && target.record.revision <= revision;
+        if (isMissing) {
+            missing.push_back(target.record.name);
+        }
+    }
+    for (const std::string &name : missing) {
+        remove(name, revision, now);
+    }
+}
+
+void TargetDirectory::addTombstone(const TargetRecord &record, TimePoint now)
+{
+    const std::uint64_t key = record.identity.key();
+    const auto [position, isNew] = m_targets.try_emplace(key);
+    if (!isNew) {
+        return;
+    }
+    KnownTarget &target = position->second;
+    target.record = record;
+    target.key = key;
+    target.presence = TargetPresence::Gone;
+    target.presenceSince = now;
+    m_areIndexesStale = true;
+}
+
+void TargetDirectory::expire(TimePoint now, const std::function<void(std::uint64_t)> &forget)
+{
+    for (auto &[key, target] : m_targets) {
+        const bool isOverdue = target.presence == TargetPresence::Lapsed
+            && now - target.presenceSince >= m_timing.lapseGrace;
+        if (isOverdue) {
+            end(target, now);
+        }
+    }
+    for (auto position = m_targets.begin(); position != m_targets.end();) {
+        const KnownTarget &target = position->second;
+        const bool isForgotten = target.presence == TargetPresence::Gone
+            && now - target.presenceSince >= m_timing.tombstoneLifetime;
+        if (!isForgotten) {
+            ++position;
+            continue;
+        }
+        const std::uint64_t key = position->first;
+        forget(key);
+        if (const auto named = m_byName.find(target.record.name);
+            named != m_byName.end() && named->second == key) {
+            m_byName.erase(named);
+            m_removals.erase(target.record.name);
+        }
+        if (const auto addressed = m_byAddress.find(target.record.address.packed());
+            addressed != m_byAddress.end() && addressed->second == key) {
+            m_byAddress.erase(addressed);
+        }
+        position = m_targets.erase(position);
+        m_areIndexesStale = true;
+    }
+}
+
+void TargetDirectory::refreshIndexes()
+{
+    if (!m_areIndexesStale) {
+        return;
+    }
+    m_areIndexesStale = false;
+    m_tokens.clear();
+    m_byService.clear();
+    for (auto &[key, target] : m_targets) {
+        for (unsigned number = 0; number < TokensPerTarget; ++number) {
+            m_tokens.emplace_back(steeringToken(key, number), key);
+        }
+        if (target.presence != TargetPresence::Gone) {
+            m_byService[target.record.service].push_back(&target);
+        }
+    }
+    std::sort(m_tokens.begin(), m_tokens.end());
+}
+
+/// Tells whether more than one known target has a token.
+bool TargetDirectory::isShared(SteeringToken token) const
+{
+    const auto first = std::lower_bound(m_tokens.begin(), m_tokens.end(), std::pair(token, std::uint64_t{0}));
+    return first != m_tokens.end() && std::next(first) != m_tokens.end() && std::next(first)->first == token;
+}
+
+KnownTarget *TargetDirectory::withToken(SteeringToken token)
+{
+    refreshIndexes();
+    const auto first = std::lower_bound(m_tokens.begin(), m_tokens.end(), std::pair(token, std::uint64_t{0}));
+    const bool isKnown = first != m_tokens.end() && first->first == token;
+    return isKnown && !isShared(token) ? find(first->second) : nullptr;
+}
+
+SteeringToken TargetDirectory::tokenFor(const KnownTarget &target, std::uint64_t flowHash)
+{
+    refreshIndexes();
+    for (unsigned attempt = 0; attempt < TokensPerTarget; ++attempt) {
+        const unsigned number = static_cast<unsigned>((flowHash + attempt) % TokensPerTarget);
+        const SteeringToken token = steeringToken(target.key, number);
+        if (!isShared(token)) {
+            return token;
+        }
+    }
+    return NoToken;
+}
+
+const std::vector<KnownTarget *> &TargetDirectory::ofService(const std::string &service)
+{
+    static const std::vector<KnownTarget *> none;
+    refreshIndexes();
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+std::size_t TargetDirectory::listedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
+        [](const auto &item) { return item.second.presence == TargetPresence::Listed; }));
+}
+
+} // namespace jasminequay
--- a/lib/Support/logevent.cpp
+++ b/lib/Support/logevent.cpp
@@ -29,14 +29,30 @@
     return quoted + '"';
 }
 
+static LogSink &installedSink()
+{
+    static LogSink sink;
+    return sink;
+}
+
+void setLogSink(LogSink sink)
+{
+    installedSink() = std::move(sink);
+}
+
 LogEvent::LogEvent(Severity severity, std::string_view event)
     : m_severity(severity)
+    , m_event(event)
     , m_line("event=" + quotedValue(event))
 {
 }
 
 LogEvent::~LogEvent()
 {
+    if (const LogSink &sink = installedSink()) {
+        sink(m_severity, m_event, m_line);
+        return;
+    }
     switch (m_severity) {
     case Severity::Info:
         LOG(INFO) << m_line;
--- a/tools/jasminequay/commands.h
+++ b/tools/jasminequay/commands.h
@@ -15,6 +15,7 @@
 };
 
 ExitCode runServe(int argumentCount, char **arguments);
+ExitCode runSteer(int argumentCount, char **arguments);
 ExitCode runCheck(int argumentCount, char **arguments);
 ExitCode runExplain(int argumentCount, char **arguments);
 ExitCode runReport(int argumentCount, char **arguments);
--- a/tools/jasminequay/main.cpp
+++ b/tools/jasminequay/main.cpp
@@ -15,8 +15,10 @@
     jasminequay::ExitCode (*run)(int argumentCount, char **arguments);
 };
 
-constexpr std::array<Subcommand, 5> Subcommands{{
+constexpr std::array<Subcommand, 6> Subcommands{{
     {"serve", "run one instance", "jasminequay serve --settings instance.yaml", jasminequay::runServe},
+    {"steer", "run one instance that steers by token", "jasminequay steer --settings node.yaml",
+        jasminequay::runSteer},
     {"check", "check a tree or instance settings", "jasminequay check --tree tree.yaml",
         jasminequay::runCheck},
     {"explain", "say where a flow would go, and why",
