--- /dev/null
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -0,0 +1,143 @@
+// What an instance and its peers know together: members, readers of the store, routes, targets, losses. No clock
+// or socket.
+#pragma once
+
+#include "jasminequay/Fleet/changehistory.h"
+#include "jasminequay/Fleet/fleetnews.h"
+#include "jasminequay/Fleet/readerplan.h"
+#include "jasminequay/Membership/membertable.h"
+#include "jasminequay/Steering/steeringengine.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// The constants of an instance in its fleet.
+struct FleetSettings {
+    Endpoint control; ///< Its address among its peers; its name is the text of it.
+    std::string dataCentre;
+    std::vector<Endpoint> seeds;
+    Duration settingsBound = std::chrono::seconds(3);
+    double storeReadsPerSecond = 2000;
+    std::uint64_t incarnation = 1; ///< Grows with each start.
+    std::uint64_t randomSeed = 1;
+};
+
+/// A message with its receiver.
+struct OutgoingNews {
+    Endpoint to; ///< The receiver's control address.
+    FleetNews news;
+};
+
+/// What is to be done after an event.
+struct FleetActions {
+    std::vector<OutgoingNews> news;
+    std::optional<Endpoint> fetchFrom; ///< A peer from which everything is to be fetched.
+};
+
+/// The next read of the store.
+struct StoreReadRequest {
+    bool isWanted = false; ///< Whether to read now.
+    bool isComplete = false; ///< Whether to read everything.
+    std::uint64_t after = 0; ///< The revision after which changes are wanted.
+    Duration wait{}; ///< How long to wait for a change.
+    Duration timeout{}; ///< How long an answer may take beyond that.
+};
+
+/// Keeps an engine informed. What a peer tells is what the store has told it: revisions order all, and versions
+/// never go back.
+class FleetControl
+{
+public:
+    FleetControl(const FleetSettings &settings, SteeringEngine &engine, TimePoint now);
+
+    /// Beats and ages what is known.
+    FleetActions tick(TimePoint now);
+
+    /// Takes a message of a peer.
+    FleetActions onNews(const FleetNews &news, TimePoint now);
+
+    /// Decides about the next read of the store.
+    [[nodiscard]] StoreReadRequest nextRead(TimePoint now) const;
+
+    /// Takes the outcome of a read that began at `startedAt`.
+    FleetActions onStoreAnswer(const StoreAnswer &answer, TimePoint startedAt, TimePoint now);
+
+    /// Returns everything that is known, for a peer.
+    [[nodiscard]] DirectoryImage image(TimePoint now);
+
+    /// Takes what a peer knows.
+    FleetActions onImage(const DirectoryImage &image, TimePoint now);
+
+    /// Notes that a peer did not hand over what it knows.
+    void onFetchFailed(TimePoint now);
+
+    /// Tells the peers that a target is lost.
+    FleetActions reportLosses(const std::vector<LossReport> &losses, TimePoint now);
+
+    /// Takes seeds and a bound that have changed while the instance runs.
+    void adopt(const std::vector<Endpoint> &seeds, Duration settingsBound, TimePoint now);
+
+    /// Announces that the instance leaves.
+    FleetActions beginLeave(TimePoint now);
+
+    /// Tells whether routes and targets are known.
+    [[nodiscard]] bool isLoaded() const
+    {
+        return m_isLoaded;
+    }
+
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
+    [[nodiscard]] bool isReading() const
+    {
+        return m_plan.isReading();
+    }
+
+    [[nodiscard]] const MemberTable &members() const
+    {
+        return m_members;
+    }
+
+private:
+    [[nodiscard]] ReaderView readerView() const;
+    [[nodiscard]] KnowledgeStanding standing(TimePoint now) const;
+    [[nodiscard]] FleetNews newsWith(Digest digest, TimePoint now) const;
+    [[nodiscard]] Digest ownEntry() const;
+    [[nodiscard]] std::vector<std::string> readerOrder(const std::string &dataCentre) const;
+    FleetActions wrap(const std::vector<OutgoingDigest> &digests, TimePoint now) const;
+    FleetActions tellReaders(TimePoint now, bool withOtherDataCentres) const;
+    void addReceivers(FleetActions &actions, const FleetNews &news, bool withOtherDataCentres) const;
+    void takeStanding(const FleetNews &news, FleetActions &actions, TimePoint now);
+    void apply(const DirectoryUpdate &update, TimePoint now);
+    [[nodiscard]] DirectoryChanges changesOf(const DirectoryUpdate &update) const;
+    void fetchFrom(const std::string &member, FleetActions &actions, TimePoint now);
+    [[nodiscard]] bool isMine(const std::string &dataCentre) const
+    {
+        return dataCentre == m_settings.dataCentre;
+    }
+
+    FleetSettings m_settings;
+    SteeringEngine &m_engine;
+    std::string m_name;
+    MemberTable m_members;
+    ReaderPlan m_plan;
+    ChangeHistory m_history;
+    bool m_isLoaded = false;
+    bool m_needsAll = true;
+    std::uint64_t m_revision = 0;
+    TimePoint m_startedAt;
+    TimePoint m_otherReaderAt;
+    TimePoint m_relayedAt;
+    TimePoint m_beatAt;
+    TimePoint m_fetchingSince; ///< The start of time if nothing is being fetched.
+    TimePoint m_fetchFailedAt;
+};
+
+} // namespace jasminequay
--- /dev/null
+++ b/include/jasminequay/Fleet/fleetnews.h
@@ -0,0 +1,53 @@
+// What instances tell each other: who lives, how current they are, what changed, and which targets are lost.
+#pragma once
+
+#include "jasminequay/Membership/digest.h"
+#include "jasminequay/Steering/directoryupdate.h"
+#include "jasminequay/Steering/targetevidence.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jasminequay
+{
+
+/// How current the sender's routes and targets are.
+struct KnowledgeStanding {
+    bool isLoaded = false; ///< Whether the sender knows any routes and targets.
+    std::uint64_t revision = 0;
+    std::uint64_t routesVersion = 0;
+    Duration age{}; ///< How long ago they were proved to be complete, when the message was sent.
+    bool isReading = false; ///< Whether the sender reads the store.
+};
+
+/// What changed in the directory since a revision, routes left out: a receiver fetches those.
+struct DirectoryChanges {
+    std::uint64_t after = 0; ///< Receivers that have at least this revision can apply the changes.
+    std::uint64_t revision = 0; ///< What they then have.
+    std::vector<TargetRecord> targets;
+    std::vector<TargetRemoval> removals;
+};
+
+/// A target that the sender takes for lost.
+struct LossReport {
+    std::uint64_t targetKey = 0;
+    TargetVerdict verdict = TargetVerdict::Dead;
+};
+
+/// One message between instances.
+struct FleetNews {
+    std::string sender; ///< The name of the sender: its control address.
+    Digest digest; ///< The sender's own entry first.
+    KnowledgeStanding standing;
+    DirectoryChanges changes;
+    std::vector<LossReport> losses;
+};
+
+/// Everything that an instance knows, for a peer that starts or fell behind.
+struct DirectoryImage {
+    DirectoryUpdate update;
+    Duration age{}; ///< How long ago it was proved to be complete.
+};
+
+} // namespace jasminequay
--- a/include/jasminequay/Membership/membertable.h
+++ b/include/jasminequay/Membership/membertable.h
@@ -21,6 +21,8 @@
     Duration lease = std::chrono::seconds(2); ///< How long a silent member keeps what it owns.
     std::size_t fanout = 3; ///< The members that get each heartbeat.
     std::size_t entriesPerDigest = 16; ///< Bounds a heartbeat's size whatever the size of the data centre.
+    /// Whether members are learnt from each other, where no list of the platform names them.
+    bool learnsMembers = false;
 };
 
 /// One other member.
@@ -70,6 +72,9 @@
     /// Announces a phase; Ready is put off while the instance is fenced.
     void setPhase(MemberPhase phase);
 
+    /// Forgets a member; for a seed that turned out to be this instance.
+    void forget(const std::string &name);
+
     /// Announces the settings version in force.
     void setSettingsVersion(std::uint64_t version);
 
--- a/include/jasminequay/Node/directoryfeed.h
+++ b/include/jasminequay/Node/directoryfeed.h
@@ -1,7 +1,7 @@
 // Reading of the store by one instance: everything at first, then what changes.
 #pragma once
 
-#include "jasminequay/Steering/directoryupdate.h"
+#include "jasminequay/Fleet/fleetcontrol.h"
 #include "jasminequay/Support/bootclock.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -26,18 +26,9 @@
     { store.watch(revision, duration, duration) } -> std::same_as<boost::asio::awaitable<StoreAnswer>>;
 };
 
-/// One read that the owner of a feed asks for.
-struct FeedRequest {
-    bool isWanted = false; ///< Whether to read now.
-    bool isComplete = false; ///< Whether to read everything.
-    std::uint64_t after = 0; ///< The revision after which changes are wanted.
-    Duration wait{}; ///< How long to wait for a change.
-    Duration timeout{}; ///< How long an answer may take beyond that.
-};
-
 /// What the owner of a feed provides.
 struct FeedHooks {
-    std::function<FeedRequest(TimePoint now)> next; ///< Decides about the next read.
+    std::function<StoreReadRequest(TimePoint now)> next; ///< Decides about the next read.
     std::function<void(const StoreAnswer &answer, TimePoint startedAt, TimePoint now)> take;
 };
 
@@ -72,7 +63,7 @@
     {
         while (true) {
             const TimePoint startedAt = bootTime();
-            const FeedRequest request = m_hooks.next(startedAt);
+            const StoreReadRequest request = m_hooks.next(startedAt);
             if (!request.isWanted) {
                 m_timer.expires_after(IdleInterval);
                 boost::system::error_code ignored; // a wake-up is no failure
--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "jasminequay/Node/directoryfeed.h"
+#include "jasminequay/Node/settingswatch.h"
 #include "jasminequay/Node/steeringcontrol.h"
+#include "jasminequay/Node/steeringmetrics.h"
 #include "jasminequay/Node/steeringpath.h"
+#include "jasminequay/Platform/operatorserver.h"
 #include "jasminequay/Support/logevent.h"
 #include "jasminequay/Support/timerservice.h"
 
@@ -21,11 +24,13 @@
 template <SteeringDeployment Attachment> class SteeringNode
 {
 public:
-    explicit SteeringNode(const SteeringInstanceSettings &settings)
+    /// `incarnation` grows with each start of the instance.
+    SteeringNode(const SteeringInstanceSettings &settings, SettingsWatch watch, std::uint64_t incarnation)
         : m_settings(settings)
-        , m_control(m_context, settings)
+        , m_watch(std::move(watch))
+        , m_control(m_context, settings, incarnation, bootTime())
         , m_path(m_context, m_control.engine(),
-              {[this]() { return m_control.isLoaded(); },
+              {[this]() { return m_control.maySteer(bootTime()); },
                   [this](const PacketSummary &packet, const SteeringDecision &decision, TimePoint now) {
                       m_control.noteDecision(packet, decision, now);
                   }})
@@ -36,7 +41,8 @@
                       m_path.wake();
                   }})
         , m_readiness(m_context, [this](const std::string &) { return readinessPage(); })
-        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_pages(m_context, [this](const std::string &path) { return controlPage(path); })
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_context)
     {
     }
@@ -45,13 +51,18 @@
     Result<void> run()
     {
         m_feed.start(m_context);
+        BOOST_LEAF_CHECK(m_control.open());
         BOOST_LEAF_CHECK(m_path.open(m_context, m_settings.packets));
         BOOST_LEAF_CHECK(m_readiness.open(m_settings.readiness));
+        BOOST_LEAF_CHECK(m_pages.open(m_settings.control));
         LogEvent(Severity::Info, "instance-started")
             .with("instance", m_settings.instance)
             .with("data_centre", m_settings.dataCentre)
             .with("packets", format(m_settings.packets));
-        awaitStop();
+        awaitSignal();
+        m_timers.subscribe("tick", TickInterval, bootTime(),
+            [this](TimePoint now) { m_path.sendResets(m_control.tick(now)); });
+        m_timers.subscribe("settings", SettingsInterval, bootTime(), [this](TimePoint) { reload(); });
         scheduleTick();
         m_context.run();
         LogEvent(Severity::Info, "instance-stopped").with("instance", m_settings.instance);
@@ -60,6 +71,8 @@
 
 private:
     static constexpr auto TickInterval = std::chrono::milliseconds(50);
+    /// How often the settings file is looked at; it may change without a signal.
+    static constexpr auto SettingsInterval = std::chrono::seconds(1);
 
     /// An instance leaves once the fabric has sent nothing for this long.
     static constexpr Duration QuietBeforeStop = std::chrono::milliseconds(700);
@@ -73,29 +86,57 @@
         return m_control.isReady() ? OperatorPage{200, "ready\n"} : OperatorPage{503, "not ready\n"};
     }
 
-    void awaitStop()
+    OperatorPage controlPage(const std::string &path)
+    {
+        if (path == PeerChannel::ImagePath) {
+            std::string image = m_control.image(bootTime());
+            return image.empty() ? OperatorPage{503, "nothing is known yet\n"} : OperatorPage{200, std::move(image)};
+        }
+        if (path == "/metrics") {
+            return {200, steeringMetricsPage(m_control, m_path.counters(), bootTime())};
+        }
+        return {404, "pages: /metrics\n"};
+    }
+
+    void awaitSignal()
     {
         m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
             if (error) {
                 return;
             }
-            if (m_leavingSince != TimePoint{}) {
+            if (signal == SIGHUP) {
+                reload();
+            } else if (m_leavingSince != TimePoint{}) {
                 m_context.stop();
                 return;
+            } else {
+                beginLeave(signal);
             }
-            m_leavingSince = bootTime();
-            m_control.beginLeave(m_leavingSince);
-            LogEvent(Severity::Info, "leave-begun").with("signal", signal);
-            awaitStop();
+            awaitSignal();
         });
     }
 
+    void beginLeave(int signal)
+    {
+        m_leavingSince = bootTime();
+        LogEvent(Severity::Info, "leave-begun").with("signal", signal);
+        m_control.beginLeave(m_leavingSince);
+    }
+
+    void reload()
+    {
+        if (const std::optional<SteeringInstanceSettings> settings = m_watch.poll()) {
+            m_settings = *settings;
+            m_control.adopt(*settings);
+        }
+    }
+
     void scheduleTick()
     {
         m_tickTimer.expires_after(TickInterval);
         m_tickTimer.async_wait([this](const boost::system::error_code &) {
             const TimePoint now = bootTime();
-            m_path.sendResets(m_control.tick(now));
+            m_timers.advance(now);
             if (isDone(now)) {
                 m_context.stop();
                 return;
@@ -115,11 +156,14 @@
     }
 
     SteeringInstanceSettings m_settings;
+    SettingsWatch m_watch;
     boost::asio::io_context m_context{1};
     SteeringControl m_control;
     SteeringPath<Attachment> m_path;
     DirectoryFeed<typename Attachment::Store> m_feed;
     OperatorServer m_readiness;
+    OperatorServer m_pages;
+    TimerService m_timers;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     TimePoint m_leavingSince;
--- a/include/jasminequay/Node/steeringpath.h
+++ b/include/jasminequay/Node/steeringpath.h
@@ -8,8 +8,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
--- /dev/null
+++ b/lib/Fleet/changehistory.cpp
@@ -0,0 +1,51 @@
+#include "jasminequay/Fleet/changehistory.h"
+
+namespace jasminequay
+{
+
+/// Entries that are handed on at once: about a hundred bytes each, so that a message stays below the size of a
+/// packet on an Ethernet link.
+constexpr std::size_t MaximumEntries = 10;
+
+static std::size_t entriesOf(const DirectoryChanges &changes)
+{
+    return changes.targets.size() + changes.removals.size();
+}
+
+void ChangeHistory::add(DirectoryChanges changes)
+{
+    if (!m_changes.empty() && m_changes.back().revision != changes.after) {
+        m_changes.clear();
+    }
+    const bool isEmpty = entriesOf(changes) == 0;
+    if (isEmpty && !m_changes.empty()) {
+        m_changes.back().revision = changes.revision;
+        return;
+    }
+    m_changes.push_back(std::move(changes));
+    std::size_t total = 0;
+    for (const DirectoryChanges &kept : m_changes) {
+        total += entriesOf(kept);
+    }
+    while (total > MaximumEntries && !m_changes.empty()) {
+        total -= entriesOf(m_changes.front());
+        m_changes.pop_front();
+    }
+}
+
+DirectoryChanges ChangeHistory::all() const
+{
+    DirectoryChanges joined;
+    if (m_changes.empty()) {
+        return joined;
+    }
+    joined.after = m_changes.front().after;
+    joined.revision = m_changes.back().revision;
+    for (const DirectoryChanges &changes : m_changes) {
+        joined.targets.insert(joined.targets.end(), changes.targets.begin(), changes.targets.end());
+        joined.removals.insert(joined.removals.end(), changes.removals.begin(), changes.removals.end());
+    }
+    return joined;
+}
+
+} // namespace jasminequay
--- /dev/null
+++ b/lib/Fleet/readerplan.cpp
@@ -0,0 +1,110 @@
+#include "jasminequay/Fleet/readerplan.h"
+
+#include <algorithm>
+
+namespace jasminequay
+{
+
+using std::chrono::milliseconds;
+
+constexpr Duration ShortestWait = milliseconds(500);
+constexpr Duration LongestWait = std::chrono::seconds(5);
+
+/// Many times the few milliseconds of a usual answer, and still short beside every bound.
+constexpr Duration AnswerTimeout = milliseconds(500);
+
+constexpr Duration TakeoverStagger = milliseconds(150);
+
+/// Later places in the order do not wait longer than this one.
+constexpr std::size_t LastStaggeredRank = 6;
+
+/// A restarted fleet asks its peers first; a reader answers them within this time.
+constexpr Duration StartDelay = milliseconds(60);
+constexpr Duration StartJitter = milliseconds(120);
+
+constexpr Duration FirstRetry = milliseconds(150);
+constexpr Duration LastRetry = milliseconds(1000);
+
+/// Of a data centre's instances this many try again in each interval while the store fails all of them.
+constexpr std::size_t RetryersInADataCentre = 3;
+
+/// The share of the fleet's budget that retries may take.
+constexpr double RetryBudgetShare = 0.25;
+
+/// A failure is forgotten after this time, so that the instance may become the reader again.
+constexpr Duration FailureMemory = std::chrono::seconds(10);
+
+ReaderTiming readerTiming(Duration settingsBound)
+{
+    ReaderTiming timing;
+    timing.wait = std::clamp<Duration>(settingsBound / 3, ShortestWait, LongestWait);
+    timing.timeout = AnswerTimeout;
+    timing.takeover = timing.wait + timing.wait / 4;
+    timing.stagger = TakeoverStagger;
+    timing.startDelay = StartDelay;
+    return timing;
+}
+
+static Duration drawn(std::mt19937_64 &random, Duration most)
+{
+    std::uniform_int_distribution<Duration::rep> distribution(0, most.count());
+    return Duration(distribution(random));
+}
+
+ReaderPlan::ReaderPlan(ReaderTiming timing, bool mayStartAtOnce, double readsPerSecond, TimePoint now,
+    std::uint64_t seed)
+    : m_timing(timing)
+    , m_readsPerSecond(readsPerSecond)
+    , m_random(seed)
+    , m_startAt(now)
+{
+    if (!mayStartAtOnce) {
+        m_startAt = now + m_timing.startDelay + drawn(m_random, StartJitter);
+    }
+    m_jitter = drawn(m_random, m_timing.stagger / 2);
+}
+
+bool ReaderPlan::wantsRead(const ReaderView &view, TimePoint now) const
+{
+    if (now < m_retryAt) {
+        return false;
+    }
+    if (!view.isLoaded) {
+        return now >= m_startAt;
+    }
+    if (view.rank == 0) {
+        return true;
+    }
+    const bool isOnlyReader = m_isReading && now - view.otherReaderAt > m_timing.takeover;
+    const std::size_t rank = std::min(view.rank, LastStaggeredRank);
+    const Duration patience = m_timing.takeover + rank * m_timing.stagger + m_jitter;
+    return isOnlyReader || now - view.currentAt > patience;
+}
+
+void ReaderPlan::noteSuccess(TimePoint now)
+{
+    m_isReading = true;
+    m_failures = 0;
+    m_failedAt = TimePoint{};
+    m_retryAt = now;
+}
+
+void ReaderPlan::noteFailure(const ReaderView &view, TimePoint now)
+{
+    m_isReading = false;
+    m_failedAt = now;
+    const Duration bound = std::min<Duration>(FirstRetry * (1U << std::min(m_failures, 8U)), LastRetry);
+    ++m_failures;
+    const double share = static_cast<double>(view.fleet) / (RetryBudgetShare * m_readsPerSecond);
+    const auto budgeted = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(share));
+    const std::size_t crowd = view.rank < RetryersInADataCentre ? 1 : view.members / RetryersInADataCentre;
+    const Duration least = std::max<Duration>(budgeted, bound / 2) * std::max<std::size_t>(crowd, 1);
+    m_retryAt = now + least + drawn(m_random, least);
+}
+
+bool ReaderPlan::isFailing(TimePoint now) const
+{
+    return m_failedAt != TimePoint{} && now - m_failedAt < FailureMemory;
+}
+
+} // namespace jasminequay
--- a/lib/Membership/membertable.cpp
+++ b/lib/Membership/membertable.cpp
@@ -252,10 +252,14 @@
         return;
     }
     const bool isUnknown = !m_members.contains(entry.instance);
-    if (isUnknown && !isFirstHand) {
+    const bool isReachable = m_timing.learnsMembers && entry.control.port != 0;
+    if (isUnknown && !isFirstHand && !isReachable) {
         return;
     }
     Member &member = memberNamed(entry.instance, now);
+    if (isReachable) {
+        member.peerControl = entry.control;
+    }
     if (member.hasBeenHeard && !isNewer(entry, member.known)) {
         return;
     }
@@ -303,6 +307,13 @@
     return {{name, makeDigest(false)}};
 }
 
+void MemberTable::forget(const std::string &name)
+{
+    m_members.erase(name);
+    m_awaitedReplies.erase(name);
+    refreshView();
+}
+
 void MemberTable::setPhase(MemberPhase phase)
 {
     m_self.phase = phase;
--- a/lib/Node/metricspage.cpp
+++ b/lib/Node/metricspage.cpp
@@ -1,55 +1,10 @@
 #include "jasminequay/Node/metricspage.h"
 
-#include <prometheus/metric_family.h>
-#include <prometheus/text_serializer.h>
+#include "pagebuilder.h"
 
 namespace jasminequay
 {
 
-namespace
-{
-
-/// Collects metric families under the product's prefix.
-class PageBuilder
-{
-public:
-    void counter(const std::string &name, const std::string &help, std::uint64_t value)
-    {
-        family(name, help, prometheus::MetricType::Counter).metric.push_back(counterMetric(value));
-    }
-
-    void gauge(const std::string &name, const std::string &help, double value)
-    {
-        prometheus::ClientMetric metric;
-        metric.gauge.value = value;
-        family(name, help, prometheus::MetricType::Gauge).metric.push_back(metric);
-    }
-
-    prometheus::MetricFamily &family(
-        const std::string &name, const std::string &help, prometheus::MetricType type)
-    {
-        m_families.push_back({"jasminequay_" + name, help, type, {}});
-        return m_families.back();
-    }
-
-    static prometheus::ClientMetric counterMetric(std::uint64_t value)
-    {
-        prometheus::ClientMetric metric;
-        metric.counter.value = static_cast<double>(value);
-        return metric;
-    }
-
-    [[nodiscard]] std::string text() const
-    {
-        return prometheus::TextSerializer().Serialize(m_families);
-    }
-
-private:
-    std::vector<prometheus::MetricFamily> m_families;
-};
-
-} // namespace
-
 static void addTraffic(PageBuilder &page, const TrafficCounters &traffic)
 {
     page.counter("packets_to_targets_total", "Packets sent to targets.", traffic.packetsToTargets);
--- /dev/null
+++ b/lib/Node/peerchannel.cpp
@@ -0,0 +1,125 @@
+#include "jasminequay/Node/peerchannel.h"
+
+#include "jasminequay/Peer/fleetcodec.h"
+#include "jasminequay/Platform/httpexchange.h"
+#include "jasminequay/Support/logevent.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace jasminequay
+{
+
+namespace asio = boost::asio;
+
+constexpr auto Awaited = asio::as_tuple(asio::use_awaitable);
+constexpr Duration FetchTimeout = std::chrono::milliseconds(400);
+constexpr std::size_t LargestFetch = 8 << 20;
+constexpr unsigned StatusOk = 200;
+
+PeerChannel::PeerChannel(asio::io_context &context, PeerHooks hooks)
+    : m_context(context)
+    , m_socket(context)
+    , m_hooks(std::move(hooks))
+{
+}
+
+Result<void> PeerChannel::open(Endpoint address)
+{
+    const asio::ip::udp::endpoint local(asio::ip::address_v4(address.address.value), address.port);
+    boost::system::error_code error;
+    m_socket.open(local.protocol(), error);
+    if (!error) {
+        m_socket.bind(local, error);
+    }
+    if (!error) {
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return fail(Step::BindPeer, format(address), error.message());
+    }
+    m_port = address.port;
+    asio::co_spawn(m_context, receive(), asio::detached);
+    return {};
+}
+
+void PeerChannel::send(Endpoint control, const FleetNews &news)
+{
+    const std::string bytes = encodeNews(news);
+    const asio::ip::udp::endpoint to(asio::ip::address_v4(control.address.value), m_port);
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), to, 0, error);
+    if (error) {
+        // The next message replaces this one; a full buffer or a refused datagram needs no more than a count.
+        ++m_counters.unsent;
+        return;
+    }
+    ++m_counters.sent;
+    m_counters.sentBytes += bytes.size();
+}
+
+asio::awaitable<void> PeerChannel::receive()
+{
+    while (m_socket.is_open()) {
+        asio::ip::udp::endpoint sender;
+        const auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(m_buffer), sender, Awaited);
+        if (!error) {
+            take(size, {sender.address().to_v4().to_uint()});
+        }
+    }
+}
+
+void PeerChannel::take(std::size_t size, Ipv4Address sender)
+{
+    ++m_counters.received;
+    const std::string peer = format(sender);
+    withFailure(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(news, decodeNews({m_buffer.data(), size}, peer));
+            const std::optional<Endpoint> named = parseEndpoint(news.sender);
+            if (!named || named->address != sender) {
+                return fail(Step::DecodePeer, peer, "the message names another sender");
+            }
+            m_hooks.onNews(news);
+            return {};
+        },
+        [this](const Failure &failure) {
+            ++m_counters.refused;
+            LogEvent(Severity::Warning, "peer-message-refused").with("reason", describe(failure));
+        });
+}
+
+void PeerChannel::fetch(Endpoint control)
+{
+    asio::co_spawn(m_context, runFetch(control), asio::detached);
+}
+
+asio::awaitable<void> PeerChannel::runFetch(Endpoint control)
+{
+    ++m_counters.fetches;
+    const std::string path(ImagePath);
+    const HttpAnswer answer
+        = co_await httpGet(control, path, {FetchTimeout, LargestFetch}, Step::ConnectPeer);
+    const bool isTaken = withFailure(
+        [&]() -> Result<bool> {
+            if (answer.failure || answer.status != StatusOk) {
+                return fail(Step::ConnectPeer, format(control),
+                    answer.failure ? answer.failure->message : "status " + std::to_string(answer.status));
+            }
+            BOOST_LEAF_AUTO(image, decodeImage(answer.body, format(control)));
+            m_hooks.onImage(image);
+            return true;
+        },
+        [](const Failure &failure) {
+            LogEvent(Severity::Warning, "fetch-failed").with("reason", describe(failure));
+            return false;
+        });
+    if (!isTaken) {
+        ++m_counters.failedFetches;
+        m_hooks.onFetchFailed(control);
+    }
+}
+
+} // namespace jasminequay
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -1,23 +1,30 @@
 #include "jasminequay/Node/steeringcontrol.h"
 
+#include "jasminequay/Peer/fleetcodec.h"
 #include "jasminequay/Platform/reachabilityprobe.h"
+#include "jasminequay/Support/bootclock.h"
 #include "jasminequay/Support/logevent.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace jasminequay
 {
 
 using std::chrono::milliseconds;
 
-/// A waiting read is renewed this often, so that one that went silent for good is noticed in time.
-constexpr Duration WatchWait = milliseconds(1000);
+/// Resets in one tick.
+constexpr std::size_t ResetsPerTick = 200;
 
-/// How long an answer of the store may take: many times its usual four milliseconds.
-constexpr Duration StoreTimeout = milliseconds(500);
+/// A loss is told to the peers again after this time while it lasts.
+constexpr Duration LossReportInterval = std::chrono::seconds(1);
+constexpr std::size_t LossesPerReport = 32;
 
-constexpr Duration RetryDelay = milliseconds(200);
+/// A tick that comes this late shows that the process was paused.
+constexpr Duration PauseThreshold = milliseconds(700);
 
-/// Resets in one tick.
-constexpr std::size_t ResetsPerTick = 200;
+/// How long packets wait after a pause for newer routes and targets.
+constexpr Duration PauseHold = milliseconds(250);
 
 static SteeringSettings engineSettings(const SteeringInstanceSettings &settings)
 {
@@ -25,74 +32,104 @@
     engine.dataCentre = settings.dataCentre;
     engine.flowCapacity = settings.flowMemory;
     engine.flowLifetime = settings.flowLifetime;
+    // The word of a reader comes once in each wait of its watch.
+    engine.refusalAge = readerTiming(settings.settingsBound).wait * 3 / 2;
     engine.directory.tombstoneLifetime = settings.flowLifetime;
     return engine;
 }
 
-SteeringControl::SteeringControl(boost::asio::io_context &context, const SteeringInstanceSettings &settings)
+static FleetSettings fleetSettings(const SteeringInstanceSettings &settings, std::uint64_t incarnation)
+{
+    FleetSettings fleet;
+    fleet.control = settings.control;
+    fleet.dataCentre = settings.dataCentre;
+    fleet.seeds = settings.seeds;
+    fleet.settingsBound = settings.settingsBound;
+    fleet.storeReadsPerSecond = settings.storeReadsPerSecond;
+    fleet.incarnation = incarnation;
+    fleet.randomSeed = hashWords(incarnation, settings.control.packed());
+    return fleet;
+}
+
+SteeringControl::SteeringControl(boost::asio::io_context &context, const SteeringInstanceSettings &settings,
+    std::uint64_t incarnation, TimePoint now)
     : m_context(context)
     , m_settings(settings)
     , m_engine(engineSettings(settings))
+    , m_fleet(fleetSettings(settings, incarnation), m_engine, now)
+    , m_peers(context,
+          {[this](const FleetNews &news) { perform(m_fleet.onNews(news, bootTime())); },
+              [this](const DirectoryImage &image) { perform(m_fleet.onImage(image, bootTime())); },
+              [this](Endpoint) { m_fleet.onFetchFailed(bootTime()); }})
+    , m_tickedAt(now)
+{
+}
+
+Result<void> SteeringControl::open()
 {
+    return m_peers.open({m_settings.control.address, m_settings.peerPort});
 }
 
-FeedRequest SteeringControl::nextRead(TimePoint now)
+StoreReadRequest SteeringControl::nextRead(TimePoint now) const
 {
-    FeedRequest request;
-    request.isWanted = now >= m_retryAt;
-    request.isComplete = m_needsAll;
-    request.after = m_revision;
-    request.wait = WatchWait;
-    request.timeout = StoreTimeout;
-    return request;
+    return m_fleet.nextRead(now);
 }
 
 void SteeringControl::takeAnswer(const StoreAnswer &answer, TimePoint startedAt, TimePoint now)
 {
     m_store.calls += answer.calls;
-    const bool isAnswered = answer.outcome == StoreOutcome::Answered;
-    if (isAnswered) {
-        m_needsAll = false;
-        apply(answer.update, now);
-        m_engine.noteCurrent(answer.update.isComplete ? startedAt : now - StoreTimeout);
-    }
-    if (answer.outcome == StoreOutcome::HistoryLost) {
-        m_needsAll = true;
-    }
+    m_store.changes += answer.update.targets.size() + answer.update.removals.size()
+        + (answer.update.routes ? 1 : 0);
+    noteStore(answer);
+    perform(m_fleet.onStoreAnswer(answer, startedAt, now));
+}
+
+/// Logs when the store is lost and when it answers again.
+void SteeringControl::noteStore(const StoreAnswer &answer)
+{
     const bool isFailing = answer.outcome == StoreOutcome::Refused || answer.outcome == StoreOutcome::Failed;
-    if (isFailing) {
-        ++m_store.failures;
-        m_retryAt = now + RetryDelay;
+    m_store.failures += isFailing ? 1 : 0;
+    if (isFailing == m_isStoreFailing) {
+        return;
     }
-    if (isFailing != m_isStoreFailing) {
-        m_isStoreFailing = isFailing;
-        LogEvent(isFailing ? Severity::Warning : Severity::Info, isFailing ? "store-lost" : "store-regained")
-            .with("store", format(m_settings.store))
-            .with("outcome", storeOutcomeName(answer.outcome))
-            .with("reason", answer.reason);
+    m_isStoreFailing = isFailing;
+    LogEvent event(isFailing ? Severity::Warning : Severity::Info, isFailing ? "store-lost" : "store-regained");
+    event.with("store", format(m_settings.store)).with("outcome", storeOutcomeName(answer.outcome));
+    if (isFailing) {
+        event.with("reason", answer.reason);
     }
 }
 
-void SteeringControl::apply(const DirectoryUpdate &update, TimePoint now)
+void SteeringControl::perform(const FleetActions &actions)
 {
-    if (update.routes) {
-        const std::uint64_t version = update.routes->version;
-        const std::size_t routes = update.routes->routes.size();
-        if (m_engine.routes().adopt(*update.routes)) {
-            LogEvent(Severity::Info, "routes-in-force").with("version", version).with("routes", routes);
-        }
+    for (const OutgoingNews &outgoing : actions.news) {
+        m_peers.send(outgoing.to, outgoing.news);
     }
-    if (update.isComplete) {
-        m_engine.targets().replaceAll(update.targets, update.revision, now);
-    } else {
-        for (const TargetRecord &record : update.targets) {
-            m_engine.targets().put(record, now);
-        }
+    if (actions.fetchFrom) {
+        m_peers.fetch(*actions.fetchFrom);
     }
-    for (const TargetRemoval &removal : update.removals) {
-        m_engine.targets().remove(removal.name, removal.revision, now);
+    noteChanges(bootTime());
+}
+
+/// Logs what the instance believes anew.
+void SteeringControl::noteChanges(TimePoint now)
+{
+    const RouteConfiguration &routes = m_engine.routes().configuration();
+    if (routes.version != m_loggedVersion) {
+        m_loggedVersion = routes.version;
+        LogEvent(Severity::Info, "routes-in-force")
+            .with("version", routes.version)
+            .with("routes", routes.routes.size())
+            .with("revision", m_fleet.revision())
+            .with("targets", m_engine.targets().listedCount())
+            .with("age_ms", std::chrono::duration_cast<milliseconds>(now - m_engine.currentAt()).count());
+    }
+    if (m_fleet.isReading() != m_wasReading) {
+        m_wasReading = m_fleet.isReading();
+        LogEvent(Severity::Info, m_wasReading ? "reading-begun" : "reading-ended")
+            .with("revision", m_fleet.revision())
+            .with("members", m_fleet.members().members().size());
     }
-    m_revision = std::max(m_revision, update.revision);
 }
 
 void SteeringControl::noteDecision(
@@ -111,10 +148,52 @@
     event.with("version", m_engine.routes().configuration().version).with("age_ms", age);
 }
 
+void SteeringControl::noteResets(const std::vector<PendingReset> &resets, TimePoint now)
+{
+    for (const PendingReset &reset : resets) {
+        LogEvent event(Severity::Info, "flow-reset");
+        event.with("caller", format(reset.flow.caller)).with("service", format(reset.flow.service));
+        event.with("cause", steeringCauseName(reset.cause));
+        if (const KnownTarget *const target = m_engine.targets().find(reset.targetKey)) {
+            event.with("target", target->record.name)
+                .with("reachability", reachabilityName(target->evidence.reachability()))
+                .with("stalled_flows", target->evidence.stalledFlows())
+                .with("silent_ms",
+                    std::chrono::duration_cast<milliseconds>(now - target->evidence.silentSince()).count());
+        }
+    }
+}
+
 std::vector<PendingReset> SteeringControl::tick(TimePoint now)
 {
+    detectPause(now);
+    perform(m_fleet.tick(now));
     startProbes(now);
-    return m_engine.sweep(now, ResetsPerTick);
+    std::vector<PendingReset> resets = m_engine.sweep(now, ResetsPerTick);
+    noteResets(resets, now);
+    shareLosses(now);
+    return resets;
+}
+
+void SteeringControl::detectPause(TimePoint now)
+{
+    if (now - m_tickedAt > PauseThreshold) {
+        m_wokeAt = now;
+        LogEvent(Severity::Warning, "pause-detected")
+            .with("paused_ms", std::chrono::duration_cast<milliseconds>(now - m_tickedAt).count());
+    }
+    m_tickedAt = now;
+}
+
+bool SteeringControl::maySteer(TimePoint now) const
+{
+    if (!m_fleet.isLoaded()) {
+        return false;
+    }
+    // A pause is seen here first, as packets come before the tick.
+    const TimePoint wokeAt = now - m_tickedAt > PauseThreshold ? now : m_wokeAt;
+    const bool isRenewed = m_engine.currentAt() >= wokeAt;
+    return isRenewed || now - wokeAt >= PauseHold;
 }
 
 void SteeringControl::startProbes(TimePoint now)
@@ -132,19 +211,70 @@
 {
     const TimePoint startedAt = bootTime();
     const Reachability outcome = co_await probeReachability(address);
-    if (KnownTarget *const target = m_engine.targets().find(key)) {
-        const TimePoint now = bootTime();
-        target->evidence.noteProbe(outcome, startedAt, now);
-        LogEvent(Severity::Info, "target-probed")
-            .with("target", target->record.name)
-            .with("outcome", reachabilityName(outcome))
-            .with("verdict", targetVerdictName(target->evidence.verdict(now)));
+    ++m_probes[outcome];
+    KnownTarget *const target = m_engine.targets().find(key);
+    if (target == nullptr) {
+        co_return;
+    }
+    const TimePoint now = bootTime();
+    target->evidence.noteProbe(outcome, startedAt, now);
+    LogEvent(Severity::Info, "target-probed")
+        .with("target", target->record.name)
+        .with("outcome", reachabilityName(outcome))
+        .with("verdict", targetVerdictName(target->evidence.verdict(now)))
+        .with("stalled_flows", target->evidence.stalledFlows());
+}
+
+void SteeringControl::shareLosses(TimePoint now)
+{
+    std::vector<LossReport> losses;
+    for (const auto &[key, target] : m_engine.targets().targets()) {
+        const TargetVerdict verdict = target.evidence.verdict(now);
+        const bool isLost = verdict == TargetVerdict::Dead || verdict == TargetVerdict::Unreachable;
+        if (!isLost || target.presence == TargetPresence::Gone || losses.size() >= LossesPerReport) {
+            continue;
+        }
+        TimePoint &reportedAt = m_reportedLosses[key];
+        if (reportedAt != TimePoint{} && now - reportedAt < LossReportInterval) {
+            continue;
+        }
+        reportedAt = now;
+        losses.push_back({key, verdict});
+        LogEvent(Severity::Warning, "target-lost")
+            .with("target", target.record.name)
+            .with("verdict", targetVerdictName(verdict))
+            .with("data_centre", target.record.dataCentre);
+    }
+    std::erase_if(m_reportedLosses,
+        [now](const auto &item) { return now - item.second > 10 * LossReportInterval; });
+    if (!losses.empty()) {
+        perform(m_fleet.reportLosses(losses, now));
     }
 }
 
-void SteeringControl::beginLeave(TimePoint)
+void SteeringControl::adopt(const SteeringInstanceSettings &settings)
+{
+    const bool needsRestart = settings.packets != m_settings.packets || settings.control != m_settings.control
+        || settings.readiness != m_settings.readiness || settings.peerPort != m_settings.peerPort
+        || settings.store != m_settings.store;
+    m_fleet.adopt(settings.seeds, settings.settingsBound, bootTime());
+    m_settings.seeds = settings.seeds;
+    m_settings.settingsBound = settings.settingsBound;
+    m_settings.gracePeriod = settings.gracePeriod;
+    LogEvent(Severity::Info, "settings-reloaded")
+        .with("seeds", settings.seeds.size())
+        .with("addresses_need_restart", needsRestart ? "yes" : "no");
+}
+
+void SteeringControl::beginLeave(TimePoint now)
 {
     m_isLeaving = true;
+    perform(m_fleet.beginLeave(now));
+}
+
+std::string SteeringControl::image(TimePoint now)
+{
+    return m_fleet.isLoaded() ? encodeImage(m_fleet.image(now)) : std::string();
 }
 
 } // namespace jasminequay
--- /dev/null
+++ b/lib/Node/steeringmetrics.cpp
@@ -0,0 +1,111 @@
+#include "jasminequay/Node/steeringmetrics.h"
+
+#include "pagebuilder.h"
+
+namespace jasminequay
+{
+
+static void addPath(PageBuilder &page, const PathCounters &path)
+{
+    page.counter("packets_received_total", "Packets of callers.", path.packets);
+    page.counter("packets_forwarded_total", "Packets sent on to targets.", path.forwarded);
+    page.counter("resets_sent_total", "Resets sent to callers.", path.resets);
+    page.counter("packets_malformed_total", "Datagrams that are no packets of callers.", path.malformed);
+    page.counter("packets_unsent_total", "Packets that the kernel did not take.", path.unsent);
+    prometheus::ClientMetric latency;
+    std::uint64_t below = 0;
+    double bound = 1e-6;
+    for (const std::uint64_t count : path.latencyBuckets) {
+        below += count;
+        latency.histogram.bucket.push_back({below, bound});
+        bound *= 2;
+    }
+    latency.histogram.sample_count = below;
+    latency.histogram.sample_sum = static_cast<double>(path.latencyNanoseconds) * 1e-9;
+    page.family("decision_seconds", "Time from reading a packet to sending it on.",
+            prometheus::MetricType::Histogram)
+        .metric.push_back(latency);
+}
+
+static void addDecisions(PageBuilder &page, const SteeringCounters &counters)
+{
+    prometheus::MetricFamily &decisions = page.family(
+        "decisions_total", "Decisions about packets and flows, by cause.", prometheus::MetricType::Counter);
+    for (std::size_t cause = 0; cause < SteeringCauseCount; ++cause) {
+        prometheus::ClientMetric metric = PageBuilder::counterMetric(counters[cause]);
+        metric.label.push_back({"cause", std::string(steeringCauseName(static_cast<SteeringCause>(cause)))});
+        decisions.metric.push_back(metric);
+    }
+}
+
+static void addTargets(PageBuilder &page, SteeringControl &control, TimePoint now)
+{
+    std::map<std::string_view, double> byVerdict;
+    for (const auto &[key, target] : control.engine().targets().targets()) {
+        if (target.presence != TargetPresence::Gone) {
+            ++byVerdict[targetVerdictName(target.evidence.verdict(now))];
+        }
+    }
+    prometheus::MetricFamily &targets
+        = page.family("targets", "Known targets, by what is believed of them.", prometheus::MetricType::Gauge);
+    for (const auto &[verdict, count] : byVerdict) {
+        prometheus::ClientMetric metric;
+        metric.gauge.value = count;
+        metric.label.push_back({"verdict", std::string(verdict)});
+        targets.metric.push_back(metric);
+    }
+    prometheus::MetricFamily &probes = page.family(
+        "target_probes_total", "Connections made to find out about targets, by outcome.",
+        prometheus::MetricType::Counter);
+    for (const auto &[outcome, count] : control.probeCounters()) {
+        prometheus::ClientMetric metric = PageBuilder::counterMetric(count);
+        metric.label.push_back({"outcome", std::string(reachabilityName(outcome))});
+        probes.metric.push_back(metric);
+    }
+}
+
+static void addKnowledge(PageBuilder &page, SteeringControl &control, TimePoint now)
+{
+    const FleetControl &fleet = control.fleet();
+    const std::chrono::duration<double> age = now - control.engine().currentAt();
+    page.gauge("routes_version", "The version of the routes in force.",
+        static_cast<double>(control.engine().routes().configuration().version));
+    page.gauge("store_revision", "The revision of the store up to which changes are known.",
+        static_cast<double>(fleet.revision()));
+    page.gauge("knowledge_age_seconds", "How long ago routes and targets were proved to be complete.", age.count());
+    page.gauge("flows", "Flows that are remembered.", static_cast<double>(control.engine().flows().size()));
+    page.gauge("members", "Other instances known.", static_cast<double>(fleet.members().members().size()));
+    page.gauge("members_reachable", "Other instances that answer.",
+        static_cast<double>(fleet.members().reachable().size()));
+    page.gauge("reads_the_store", "Whether the instance reads the store for its data centre.",
+        fleet.isReading() ? 1 : 0);
+}
+
+static void addCounters(PageBuilder &page, const SteeringControl &control)
+{
+    const StoreCounters &store = control.storeCounters();
+    page.counter("store_calls_total", "Calls to the store.", store.calls);
+    page.counter("store_failures_total", "Reads of the store that failed.", store.failures);
+    page.counter("store_changes_total", "Routes and entries of targets that the store sent.", store.changes);
+    const PeerCounters &peers = control.peerCounters();
+    page.counter("peer_messages_sent_total", "Messages sent to peers.", peers.sent);
+    page.counter("peer_bytes_sent_total", "Bytes of messages sent to peers.", peers.sentBytes);
+    page.counter("peer_messages_received_total", "Datagrams received from peers.", peers.received);
+    page.counter("peer_messages_refused_total", "Datagrams that no peer can have sent.", peers.refused);
+    page.counter("peer_messages_unsent_total", "Messages that the kernel did not take.", peers.unsent);
+    page.counter("peer_fetches_total", "Fetches of everything that a peer knows.", peers.fetches);
+    page.counter("peer_fetches_failed_total", "Fetches that failed.", peers.failedFetches);
+}
+
+std::string steeringMetricsPage(SteeringControl &control, const PathCounters &path, TimePoint now)
+{
+    PageBuilder page;
+    addPath(page, path);
+    addDecisions(page, control.engine().counters());
+    addTargets(page, control, now);
+    addKnowledge(page, control, now);
+    addCounters(page, control);
+    return page.text();
+}
+
+} // namespace jasminequay
--- a/lib/Peer/controlmessage.cpp
+++ b/lib/Peer/controlmessage.cpp
@@ -9,19 +9,7 @@
 
 static void toWire(const Digest &digest, wire::WireControl &control)
 {
-    wire::WireDigest &body = *control.mutable_digest();
-    for (const DigestEntry &entry : digest.entries) {
-        wire::WireMember &member = *body.add_members();
-        member.set_instance(entry.instance);
-        member.set_incarnation(entry.incarnation);
-        member.set_heartbeat(entry.heartbeat);
-        member.set_phase(static_cast<std::uint32_t>(entry.phase));
-        member.set_settings_version(entry.settingsVersion);
-        member.set_platform_failing(entry.isPlatformFailing);
-    }
-    toWire(digest.peerData, *body.mutable_peer_data());
-    toWire(digest.peerControl, *body.mutable_peer_control());
-    body.set_wants_reply(digest.wantsReply);
+    toWire(digest, *control.mutable_digest());
 }
 
 static void toWire(const SettingsRequest &request, wire::WireControl &control)
@@ -87,22 +75,6 @@
     return control.SerializeAsString();
 }
 
-static std::optional<Digest> digestFrom(const wire::WireDigest &body)
-{
-    Digest digest;
-    for (const wire::WireMember &member : body.members()) {
-        if (member.phase() > static_cast<std::uint32_t>(MemberPhase::Leaving)) {
-            return std::nullopt;
-        }
-        digest.entries.push_back({member.instance(), member.incarnation(), member.heartbeat(),
-            static_cast<MemberPhase>(member.phase()), member.settings_version(), member.platform_failing()});
-    }
-    digest.peerData = fromWire(body.peer_data());
-    digest.peerControl = fromWire(body.peer_control());
-    digest.wantsReply = body.wants_reply();
-    return digest;
-}
-
 static std::optional<SettingsReply> settingsFrom(const wire::WireSettings &body)
 {
     if (body.size() > MaximumTreeSize) {
@@ -150,7 +122,7 @@
 {
     switch (control.body_case()) {
     case wire::WireControl::kDigest:
-        return digestFrom(control.digest());
+        return fromWire(control.digest());
     case wire::WireControl::kSettingsRequest:
         return SettingsRequest{control.settings_request().above_version()};
     case wire::WireControl::kSettings:
--- /dev/null
+++ b/lib/Peer/fleetcodec.cpp
@@ -0,0 +1,253 @@
+#include "jasminequay/Peer/fleetcodec.h"
+
+#include "compression.h"
+#include "jasminequay/Support/hash.h"
+#include "wireconversion.h"
+
+#include <cstring>
+
+namespace jasminequay
+{
+
+/// Marks a message of this protocol and version.
+constexpr std::string_view NewsMark = "JQN1";
+constexpr std::size_t ChecksumSize = sizeof(std::uint64_t);
+
+/// An image starts with the size of what was deflated.
+constexpr std::size_t SizeSize = sizeof(std::uint32_t);
+constexpr std::uint32_t LargestImage = 16 << 20;
+
+static std::uint64_t microseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+    return count < 0 ? 0 : static_cast<std::uint64_t>(count);
+}
+
+/// Bounds what a peer says, so that arithmetic on it cannot overflow.
+static Duration duration(std::uint64_t microseconds)
+{
+    constexpr std::uint64_t Longest = 1'000'000'000'000;
+    return std::chrono::microseconds(std::min(microseconds, Longest));
+}
+
+static std::uint32_t milliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(microseconds(duration) / 1000);
+}
+
+static void toWire(const TargetRecord &record, wire::WireTarget &wire)
+{
+    wire.set_name(record.name);
+    wire.set_id(record.identity.id);
+    wire.set_started_at_ms(record.identity.startedAt);
+    toWire(record.address, *wire.mutable_address());
+    wire.set_service(record.service);
+    wire.set_data_centre(record.dataCentre);
+    wire.set_slots(record.slots);
+    wire.set_draining(record.isDraining);
+    wire.set_warm_up_ms(milliseconds(record.warmUpLeft));
+    wire.set_revision(record.revision);
+}
+
+static TargetRecord fromWire(const wire::WireTarget &wire)
+{
+    TargetRecord record;
+    record.name = wire.name();
+    record.identity = {wire.id(), wire.started_at_ms()};
+    record.address = fromWire(wire.address());
+    record.service = wire.service();
+    record.dataCentre = wire.data_centre();
+    record.slots = wire.slots();
+    record.isDraining = wire.draining();
+    record.warmUpLeft = std::chrono::milliseconds(wire.warm_up_ms());
+    record.revision = wire.revision();
+    return record;
+}
+
+template <typename Field> static std::vector<TargetRecord> targetsFrom(const Field &field)
+{
+    std::vector<TargetRecord> records;
+    for (const wire::WireTarget &target : field) {
+        records.push_back(fromWire(target));
+    }
+    return records;
+}
+
+template <typename Field> static std::vector<TargetRemoval> removalsFrom(const Field &field)
+{
+    std::vector<TargetRemoval> removals;
+    for (const wire::WireRemoval &removal : field) {
+        removals.push_back({removal.name(), removal.revision()});
+    }
+    return removals;
+}
+
+static void toWire(const TargetRemoval &removal, wire::WireRemoval &wire)
+{
+    wire.set_name(removal.name);
+    wire.set_revision(removal.revision);
+}
+
+static void toWire(const RouteConfiguration &configuration, wire::WireRoutes &wire)
+{
+    wire.set_version(configuration.version);
+    wire.set_idle_timeout_ms(milliseconds(configuration.idleTimeout));
+    for (const Route &route : configuration.routes) {
+        wire::WireRoute &body = *wire.add_routes();
+        body.set_name(route.name);
+        toWire(route.address, *body.mutable_address());
+        body.set_kind(static_cast<std::uint32_t>(route.kind));
+        body.set_timeout_ms(milliseconds(route.timeout));
+        for (const WeightedService &service : route.services) {
+            wire::WireWeightedService &weighted = *body.add_services();
+            weighted.set_service(service.service);
+            weighted.set_weight(service.weight);
+        }
+    }
+}
+
+static std::optional<RouteConfiguration> fromWire(const wire::WireRoutes &wire)
+{
+    RouteConfiguration configuration;
+    configuration.version = wire.version();
+    configuration.idleTimeout = std::chrono::milliseconds(wire.idle_timeout_ms());
+    for (const wire::WireRoute &body : wire.routes()) {
+        if (body.kind() > static_cast<std::uint32_t>(RequestKind::Download)) {
+            return std::nullopt;
+        }
+        Route route;
+        route.name = body.name();
+        route.address = fromWire(body.address());
+        route.kind = static_cast<RequestKind>(body.kind());
+        route.timeout = std::chrono::milliseconds(body.timeout_ms());
+        for (const wire::WireWeightedService &service : body.services()) {
+            route.services.push_back({service.service(), service.weight()});
+        }
+        configuration.routes.push_back(std::move(route));
+    }
+    return configuration;
+}
+
+std::string encodeNews(const FleetNews &news)
+{
+    wire::WireNews wire;
+    wire.set_sender(news.sender);
+    toWire(news.digest, *wire.mutable_digest());
+    wire::WireStanding &standing = *wire.mutable_standing();
+    standing.set_loaded(news.standing.isLoaded);
+    standing.set_revision(news.standing.revision);
+    standing.set_routes_version(news.standing.routesVersion);
+    standing.set_age_us(microseconds(news.standing.age));
+    standing.set_reading(news.standing.isReading);
+    if (news.changes.revision != 0) {
+        wire::WireChanges &changes = *wire.mutable_changes();
+        changes.set_after(news.changes.after);
+        changes.set_revision(news.changes.revision);
+        for (const TargetRecord &record : news.changes.targets) {
+            toWire(record, *changes.add_targets());
+        }
+        for (const TargetRemoval &removal : news.changes.removals) {
+            toWire(removal, *changes.add_removals());
+        }
+    }
+    for (const LossReport &loss : news.losses) {
+        wire::WireLoss &body = *wire.add_losses();
+        body.set_target_key(loss.targetKey);
+        body.set_verdict(static_cast<std::uint32_t>(loss.verdict));
+    }
+    const std::string message = wire.SerializeAsString();
+    const std::uint64_t checksum = hashText(message);
+    std::string bytes(NewsMark);
+    bytes.append(reinterpret_cast<const char *>(&checksum), ChecksumSize);
+    return bytes + message;
+}
+
+Result<FleetNews> decodeNews(std::string_view bytes, const std::string &peer)
+{
+    const std::size_t headSize = NewsMark.size() + ChecksumSize;
+    if (bytes.size() < headSize || bytes.size() > MaximumNewsSize || !bytes.starts_with(NewsMark)) {
+        return fail(Step::DecodePeer, peer, "not a message of this protocol");
+    }
+    std::uint64_t checksum = 0;
+    std::memcpy(&checksum, bytes.data() + NewsMark.size(), ChecksumSize);
+    const std::string_view message = bytes.substr(headSize);
+    wire::WireNews wire;
+    if (checksum != hashText(message) || !wire.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+        return fail(Step::DecodePeer, peer, "the message is damaged");
+    }
+    const std::optional<Digest> digest = fromWire(wire.digest());
+    if (!digest) {
+        return fail(Step::DecodePeer, peer, "the message names an unknown phase");
+    }
+    FleetNews news;
+    news.sender = wire.sender();
+    news.digest = *digest;
+    const wire::WireStanding &standing = wire.standing();
+    news.standing = {standing.loaded(), standing.revision(), standing.routes_version(),
+        duration(standing.age_us()), standing.reading()};
+    news.changes = {wire.changes().after(), wire.changes().revision(), targetsFrom(wire.changes().targets()),
+        removalsFrom(wire.changes().removals())};
+    for (const wire::WireLoss &loss : wire.losses()) {
+        if (loss.verdict() > static_cast<std::uint32_t>(TargetVerdict::Dead)) {
+            return fail(Step::DecodePeer, peer, "the message names an unknown verdict");
+        }
+        news.losses.push_back({loss.target_key(), static_cast<TargetVerdict>(loss.verdict())});
+    }
+    return news;
+}
+
+std::string encodeImage(const DirectoryImage &image)
+{
+    wire::WireImage wire;
+    wire.set_revision(image.update.revision);
+    wire.set_age_us(microseconds(image.age));
+    if (image.update.routes) {
+        toWire(*image.update.routes, *wire.mutable_routes());
+    }
+    for (const TargetRecord &record : image.update.targets) {
+        toWire(record, *wire.add_targets());
+    }
+    for (const TargetRemoval &removal : image.update.removals) {
+        toWire(removal, *wire.add_removals());
+    }
+    for (const TargetRecord &record : image.update.tombstones) {
+        toWire(record, *wire.add_tombstones());
+    }
+    const std::string message = wire.SerializeAsString();
+    const auto size = static_cast<std::uint32_t>(message.size());
+    std::string bytes(reinterpret_cast<const char *>(&size), SizeSize);
+    return bytes + deflateText(message);
+}
+
+Result<DirectoryImage> decodeImage(const std::string &bytes, const std::string &peer)
+{
+    std::uint32_t size = 0;
+    if (bytes.size() < SizeSize) {
+        return fail(Step::DecodePeer, peer, "the image is cut off");
+    }
+    std::memcpy(&size, bytes.data(), SizeSize);
+    if (size > LargestImage) {
+        return fail(Step::DecodePeer, peer, "the image is too large");
+    }
+    const std::optional<std::string> message = inflateText(bytes.substr(SizeSize), size);
+    wire::WireImage wire;
+    if (!message || !wire.ParseFromString(*message)) {
+        return fail(Step::DecodePeer, peer, "the image is damaged");
+    }
+    DirectoryImage image;
+    image.age = duration(wire.age_us());
+    image.update.revision = wire.revision();
+    image.update.isComplete = true;
+    if (wire.has_routes()) {
+        image.update.routes = fromWire(wire.routes());
+        if (!image.update.routes) {
+            return fail(Step::DecodePeer, peer, "the image names an unknown kind of request");
+        }
+    }
+    image.update.targets = targetsFrom(wire.targets());
+    image.update.removals = removalsFrom(wire.removals());
+    image.update.tombstones = targetsFrom(wire.tombstones());
+    return image;
+}
+
+} // namespace jasminequay
--- a/lib/Peer/wireconversion.h
+++ b/lib/Peer/wireconversion.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Flow/peermessage.h"
+#include "jasminequay/Membership/digest.h"
 #include "jasminequay/Packet/endpoint.h"
 #include "peer.pb.h"
 
@@ -15,6 +16,11 @@
 
 void toWire(const BindingMessage &binding, wire::WireBinding &wire);
 
+void toWire(const Digest &digest, wire::WireDigest &wire);
+
+/// Returns nothing for an unknown phase.
+std::optional<Digest> fromWire(const wire::WireDigest &wire);
+
 /// Returns nothing for an unknown kind or protocol.
 std::optional<BindingMessage> fromWire(const wire::WireBinding &wire);
 
--- a/tools/jasminequay/steercommand.cpp
+++ b/tools/jasminequay/steercommand.cpp
@@ -37,7 +37,8 @@
         log.take(severity, event, pairs, now, wallMilliseconds());
         log.flush(now, wallMilliseconds());
     });
-    SteeringNode<platform::Attachment> node(parsed.settings);
+    SteeringNode<platform::Attachment> node(
+        parsed.settings, SettingsWatch(path, text), static_cast<std::uint64_t>(wallMilliseconds()));
     BOOST_LEAF_CHECK(node.run());
     setLogSink({});
     return ExitCode::Success;
