Prove the fleet with its real decision libraries; renew watches sooner

Cause: a test with a silent second in the store showed a change in force after 3.02 s (bound 3 s): a waiting read that began late in the second went silent for 1.5 s, and its retry was delayed by up to 0.3 s. Another showed a change that some instances heard only with the next beat, as members were not all known after 6 s. Change: reads wait 0.3 of the bound and time out 0.4 s later, the first retry of a reader is immediate, newcomers beat four times a second. Ruled out: two readers for each data centre (twice the calls; the takeover by age holds the bound alone). Conclusion: 1 s of silence and 1.3 s of a silent read leave 0.7 s for the rest.

--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -110,7 +110,8 @@
     [[nodiscard]] KnowledgeStanding standing(TimePoint now) const;
     [[nodiscard]] FleetNews newsWith(Digest digest, TimePoint now) const;
     [[nodiscard]] Digest ownEntry() const;
-    [[nodiscard]] std::vector<std::string> readerOrder(const std::string &dataCentre) const;
+    [[nodiscard]] const std::vector<std::string> &readerOrder(const std::string &dataCentre) const;
+    [[nodiscard]] std::vector<std::string> computeReaderOrder(const std::string &dataCentre) const;
     FleetActions wrap(const std::vector<OutgoingDigest> &digests, TimePoint now) const;
     FleetActions tellReaders(TimePoint now, bool withOtherDataCentres) const;
     void addReceivers(FleetActions &actions, const FleetNews &news, bool withOtherDataCentres) const;
@@ -129,6 +130,8 @@
     MemberTable m_members;
     ReaderPlan m_plan;
     ChangeHistory m_history;
+    /// The orders of readers by data centre; empty when members have changed.
+    mutable std::map<std::string, std::vector<std::string>> m_readerOrders;
     bool m_isLoaded = false;
     bool m_needsAll = true;
     std::uint64_t m_revision = 0;
--- a/include/jasminequay/Fleet/readerplan.h
+++ b/include/jasminequay/Fleet/readerplan.h
@@ -11,7 +11,7 @@
 
 /// The times of reading. All follow from how soon a change must be in force everywhere.
 struct ReaderTiming {
-    /// How long a waiting read waits: a third of the bound, so that a silent one leaves time for another.
+    /// How long a waiting read waits: so short that a silent one leaves time for another inside the bound.
     Duration wait;
     /// How long an answer may take beyond that.
     Duration timeout;
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -15,6 +15,10 @@
 /// The beat of an instance that knows nothing yet.
 constexpr Duration JoinInterval = milliseconds(40);
 
+/// The beat of an instance that started lately, and for how long: until all members know each other.
+constexpr Duration NewcomerInterval = milliseconds(250);
+constexpr Duration NewcomerTime = std::chrono::seconds(4);
+
 /// The readers of each other data centre that hear of changes, so that it goes on when its own reads fail.
 constexpr std::size_t ReadersTold = 2;
 
@@ -66,7 +70,7 @@
 
 /// Returns the instances of a data centre in the order in which they should read the store. Those that the store
 /// failed come last.
-std::vector<std::string> FleetControl::readerOrder(const std::string &dataCentre) const
+std::vector<std::string> FleetControl::computeReaderOrder(const std::string &dataCentre) const
 {
     struct Candidate {
         bool isFailing;
@@ -98,9 +102,18 @@
     return order;
 }
 
+const std::vector<std::string> &FleetControl::readerOrder(const std::string &dataCentre) const
+{
+    const auto [position, isNew] = m_readerOrders.try_emplace(dataCentre);
+    if (isNew) {
+        position->second = computeReaderOrder(dataCentre);
+    }
+    return position->second;
+}
+
 ReaderView FleetControl::readerView() const
 {
-    const std::vector<std::string> order = readerOrder(m_settings.dataCentre);
+    const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
     ReaderView view;
     view.rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), m_name) - order.begin());
     view.members = order.size();
@@ -164,7 +177,8 @@
 
 FleetActions FleetControl::tick(TimePoint now)
 {
-    const Duration interval = m_isLoaded ? BeatInterval : JoinInterval;
+    const bool isNewcomer = now - m_startedAt < NewcomerTime;
+    const Duration interval = !m_isLoaded ? JoinInterval : (isNewcomer ? NewcomerInterval : BeatInterval);
     if (m_fetchingSince != TimePoint{} && now - m_fetchingSince > FetchTimeout) {
         onFetchFailed(now);
     }
@@ -173,6 +187,7 @@
     }
     m_beatAt = now;
     m_members.setPlatformFailing(m_plan.isFailing(now));
+    m_readerOrders.clear();
     return wrap(m_members.tick(now), now);
 }
 
@@ -199,10 +214,9 @@
         return;
     }
     for (const std::string &dataCentre : otherDataCentres) {
-        std::vector<std::string> readers = readerOrder(dataCentre);
-        readers.resize(std::min(readers.size(), ReadersTold));
-        for (const std::string &reader : readers) {
-            actions.news.push_back({m_members.members().at(reader).peerControl, news});
+        const std::vector<std::string> &readers = readerOrder(dataCentre);
+        for (std::size_t rank = 0; rank < std::min(readers.size(), ReadersTold); ++rank) {
+            actions.news.push_back({m_members.members().at(readers[rank]).peerControl, news});
         }
     }
 }
@@ -290,6 +304,7 @@
         m_engine.noteCurrent(isQuiet && waited <= now ? waited : startedAt);
         m_plan.noteSuccess(now);
         m_members.setPlatformFailing(false);
+        m_readerOrders.clear();
         return tellReaders(now, true);
     }
     case StoreOutcome::HistoryLost:
@@ -302,6 +317,7 @@
     const bool wasReading = m_plan.isReading();
     m_plan.noteFailure(readerView(), now);
     m_members.setPlatformFailing(true);
+    m_readerOrders.clear();
     return wasReading ? tellReaders(now, false) : FleetActions{};
 }
 
@@ -341,11 +357,12 @@
         return {};
     }
     FleetActions actions = wrap(m_members.onDigest(news.sender, news.digest, now), now);
+    m_readerOrders.clear();
     const DigestEntry &sender = news.digest.entries.front();
     const bool isReaderHere = news.standing.isReading && isMine(sender.dataCentre);
     if (isReaderHere) {
         m_otherReaderAt = now;
-        const std::vector<std::string> order = readerOrder(m_settings.dataCentre);
+        const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
         const bool isBetter = std::find(order.begin(), order.end(), news.sender)
             < std::find(order.begin(), order.end(), m_name);
         if (isBetter) {
--- a/lib/Fleet/readerplan.cpp
+++ b/lib/Fleet/readerplan.cpp
@@ -1,6 +1,7 @@
 #include "jasminequay/Fleet/readerplan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminequay
 {
@@ -10,8 +11,12 @@
 constexpr Duration ShortestWait = milliseconds(500);
 constexpr Duration LongestWait = std::chrono::seconds(5);
 
-/// Many times the few milliseconds of a usual answer, and still short beside every bound.
-constexpr Duration AnswerTimeout = milliseconds(500);
+/// A hundred times the few milliseconds of a usual answer, and still short beside every bound.
+constexpr Duration AnswerTimeout = milliseconds(400);
+
+/// A waiting read may go silent while changes are made: what it hides must come with the next one inside the
+/// bound, after a second of silence and the timeout of the silent read.
+constexpr double WaitShare = 0.3;
 
 constexpr Duration TakeoverStagger = milliseconds(150);
 
@@ -37,7 +42,8 @@
 ReaderTiming readerTiming(Duration settingsBound)
 {
     ReaderTiming timing;
-    timing.wait = std::clamp<Duration>(settingsBound / 3, ShortestWait, LongestWait);
+    const auto share = std::chrono::duration_cast<Duration>(settingsBound * WaitShare);
+    timing.wait = std::clamp<Duration>(share, ShortestWait, LongestWait);
     timing.timeout = AnswerTimeout;
     timing.takeover = timing.wait + timing.wait / 4;
     timing.stagger = TakeoverStagger;
@@ -91,8 +97,13 @@
 
 void ReaderPlan::noteFailure(const ReaderView &view, TimePoint now)
 {
-    m_isReading = false;
+    const bool wasReading = std::exchange(m_isReading, false);
     m_failedAt = now;
+    if (wasReading) {
+        // One connection may have gone silent while the store is well.
+        m_retryAt = now;
+        return;
+    }
     const Duration bound = std::min<Duration>(FirstRetry * (1U << std::min(m_failures, 8U)), LastRetry);
     ++m_failures;
     const double share = static_cast<double>(view.fleet) / (RetryBudgetShare * m_readsPerSecond);
--- /dev/null
+++ b/unittests/Fleet/fakedirectory.cpp
@@ -0,0 +1,75 @@
+#include "fakedirectory.h"
+
+namespace jasminequay::fleet
+{
+
+std::uint64_t FakeDirectory::changeRoutes()
+{
+    m_routes.version += 3;
+    m_routes.routes = {{"r" + std::to_string(m_routes.version), {{0xc6120001}, 443}, RequestKind::Idempotent,
+        std::chrono::seconds(1), {{"desk", 1}}}};
+    m_history.push_back({++m_revision, true, {}});
+    return m_routes.version;
+}
+
+void FakeDirectory::put(TargetRecord record)
+{
+    record.revision = ++m_revision;
+    m_history.push_back({m_revision, false, record.name});
+    m_targets[record.name] = std::move(record);
+}
+
+void FakeDirectory::remove(const std::string &name)
+{
+    m_targets.erase(name);
+    m_history.push_back({++m_revision, false, name});
+}
+
+void FakeDirectory::forgetHistory()
+{
+    m_historyFloor = m_revision;
+    m_history.clear();
+}
+
+StoreAnswer FakeDirectory::readAll() const
+{
+    StoreAnswer answer;
+    answer.outcome = StoreOutcome::Answered;
+    answer.calls = 1;
+    answer.update.revision = m_revision;
+    answer.update.isComplete = true;
+    if (m_routes.version > 0) {
+        answer.update.routes = m_routes;
+    }
+    for (const auto &[name, record] : m_targets) {
+        answer.update.targets.push_back(record);
+    }
+    return answer;
+}
+
+StoreAnswer FakeDirectory::changesAfter(std::uint64_t revision) const
+{
+    StoreAnswer answer;
+    answer.calls = 1;
+    if (revision < m_historyFloor) {
+        answer.outcome = StoreOutcome::HistoryLost;
+        return answer;
+    }
+    answer.outcome = StoreOutcome::Answered;
+    answer.update.revision = m_revision;
+    for (const Change &change : m_history) {
+        if (change.revision <= revision) {
+            continue;
+        }
+        if (change.isRoutes) {
+            answer.update.routes = m_routes;
+        } else if (const auto target = m_targets.find(change.target); target != m_targets.end()) {
+            answer.update.targets.push_back(target->second);
+        } else {
+            answer.update.removals.push_back({change.target, change.revision});
+        }
+    }
+    return answer;
+}
+
+} // namespace jasminequay::fleet
--- /dev/null
+++ b/unittests/Fleet/fleettest.cpp
@@ -0,0 +1,297 @@
+// The bounds of docs/design/readers.md with the real decision libraries and injected time.
+#include "fakecluster.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace jasminequay::fleet
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration Bound = seconds(3);
+
+/// Returns how long a new version takes to be in force at all running instances.
+static std::optional<Duration> timeToForce(FakeCluster &cluster, Duration most = Bound)
+{
+    cluster.store.changeRoutes();
+    return cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, most);
+}
+
+static bool areAllLoaded(const FakeCluster &cluster)
+{
+    return std::all_of(cluster.members.begin(), cluster.members.end(),
+        [](const FakeMember &member) { return !member.control || member.control->isLoaded(); });
+}
+
+TEST(Fleet, FindsItselfFromSeedsAndStartsWithinASecond)
+{
+    FakeCluster cluster({75, 5});
+    EXPECT_TRUE(cluster.runUntil([&]() { return areAllLoaded(cluster); }, seconds(1)));
+    cluster.run(seconds(8));
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.control->members().members().size(), 74U);
+    }
+}
+
+TEST(Fleet, OneInstanceOfEachDataCentreReads)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(10));
+    std::set<std::size_t> dataCentres;
+    for (const std::size_t reader : cluster.readers()) {
+        dataCentres.insert(cluster.dataCentreOf(reader));
+    }
+    EXPECT_EQ(cluster.readers().size(), 5U);
+    EXPECT_EQ(dataCentres.size(), 5U);
+}
+
+TEST(Fleet, CallsGrowWithDataCentresAndNotWithInstances)
+{
+    std::vector<std::uint64_t> calls;
+    for (const std::size_t size : {30U, 300U}) {
+        FakeCluster cluster({size, 3});
+        cluster.run(seconds(8));
+        const std::uint64_t before = cluster.store.calls;
+        cluster.run(seconds(10));
+        calls.push_back(cluster.store.calls - before);
+    }
+    // A waiting read for each data centre, renewed each 0.9 s.
+    EXPECT_LE(calls[1], calls[0] * 11 / 10);
+    EXPECT_LE(calls[1], 3U * 12U);
+}
+
+TEST(Fleet, AChangeIsInForceEverywhereInTime)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(6));
+    const std::optional<Duration> taken = timeToForce(cluster);
+    ASSERT_TRUE(taken);
+    EXPECT_LE(*taken, milliseconds(200));
+}
+
+TEST(Fleet, AReaderThatDiesAsAVersionComesIsReplacedInTime)
+{
+    for (const std::size_t size : {6U, 75U, 300U}) {
+        FakeCluster cluster({size, 3});
+        cluster.run(seconds(8));
+        for (const std::size_t reader : cluster.readers()) {
+            cluster.kill(reader);
+        }
+        EXPECT_TRUE(timeToForce(cluster)) << size;
+        EXPECT_EQ(cluster.regressions, 0U);
+    }
+}
+
+TEST(Fleet, AReaderThatSleepsIsReplacedAndWakesWithoutGoingBack)
+{
+    FakeCluster cluster({9, 3});
+    cluster.run(seconds(8));
+    const std::vector<std::size_t> readers = cluster.readers();
+    for (const std::size_t reader : readers) {
+        cluster.members[reader].isFrozen = true;
+    }
+    EXPECT_TRUE(timeToForce(cluster));
+    cluster.run(seconds(4));
+    for (const std::size_t reader : readers) {
+        cluster.members[reader].isFrozen = false;
+    }
+    EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, Bound));
+    cluster.run(seconds(3));
+    EXPECT_EQ(cluster.regressions, 0U);
+    EXPECT_LE(cluster.readers().size(), 4U);
+}
+
+TEST(Fleet, WatchesThatGoSilentForGoodAreNoticedInTime)
+{
+    // The reads that began in the silent second hear nothing, whenever in their wait it began.
+    for (int offset = 0; offset < 1200; offset += 50) {
+        FakeCluster cluster({9, 3});
+        cluster.run(seconds(8) + milliseconds(offset));
+        cluster.store.faults.areWatchesSilent = true;
+        cluster.store.changeRoutes();
+        cluster.run(milliseconds(1000));
+        cluster.store.forgetHistory();
+        cluster.store.faults.areWatchesSilent = false;
+        EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, Bound - milliseconds(1000)))
+            << offset;
+    }
+}
+
+TEST(Fleet, AReaderThatIsTurnedAwayHandsOverAtOnce)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    for (const std::size_t reader : cluster.readers()) {
+        cluster.store.faults.refused.insert(reader);
+    }
+    cluster.run(seconds(4));
+    const std::optional<Duration> taken = timeToForce(cluster);
+    ASSERT_TRUE(taken);
+    EXPECT_LE(*taken, milliseconds(500));
+}
+
+TEST(Fleet, ADataCentreThatTheStoreTurnsAwayLearnsFromTheOthers)
+{
+    FakeCluster cluster({9, 3});
+    cluster.run(seconds(8));
+    for (std::size_t number = 0; number < 9; ++number) {
+        if (cluster.dataCentreOf(number) == 1) {
+            cluster.store.faults.refused.insert(number);
+        }
+    }
+    cluster.run(seconds(3));
+    EXPECT_TRUE(timeToForce(cluster));
+    const std::uint64_t before = cluster.store.calls;
+    cluster.run(seconds(10));
+    EXPECT_LT(cluster.store.calls - before, 80U) << "retries must stay rare";
+}
+
+TEST(Fleet, AOneWayCutFromTheReaderDelaysNobodyPastTheBound)
+{
+    FakeCluster cluster({9, 3});
+    cluster.run(seconds(8));
+    for (const std::size_t reader : cluster.readers()) {
+        for (std::size_t other = 0; other < 9; ++other) {
+            if (other != reader && cluster.dataCentreOf(other) == cluster.dataCentreOf(reader)) {
+                cluster.cut(reader, other);
+                break;
+            }
+        }
+    }
+    EXPECT_TRUE(timeToForce(cluster));
+}
+
+TEST(Fleet, DataCentresThatAreCutFromEachOtherKeepAReaderEach)
+{
+    FakeCluster cluster({9, 3});
+    cluster.run(seconds(8));
+    cluster.cutDataCentre(2);
+    cluster.run(seconds(10));
+    EXPECT_TRUE(timeToForce(cluster));
+    EXPECT_EQ(cluster.readers().size(), 3U);
+    cluster.cutDataCentre(2, false);
+    cluster.run(seconds(20));
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.control->members().reachable().size(), 8U);
+    }
+}
+
+TEST(Fleet, AnInstanceCutFromAllPeersReadsForItself)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    for (std::size_t other = 0; other < 75; ++other) {
+        if (other != 17) {
+            cluster.cut(17, other);
+            cluster.cut(other, 17);
+        }
+    }
+    cluster.run(seconds(2));
+    EXPECT_TRUE(timeToForce(cluster));
+}
+
+TEST(Fleet, AJoinerStartsFromItsPeersWhileTheStoreIsDown)
+{
+    FakeCluster cluster({9, 3});
+    cluster.run(seconds(8));
+    cluster.store.faults.isDown = true;
+    cluster.run(seconds(5));
+    for (const std::size_t joiner : {0U, 5U}) {
+        cluster.start(joiner);
+        const TimePoint startedAt = cluster.now;
+        ASSERT_TRUE(cluster.runUntil([&]() { return areAllLoaded(cluster); }, seconds(1))) << joiner;
+        EXPECT_EQ(cluster.members[joiner].engine->targets().listedCount(), 18U);
+        EXPECT_LE(cluster.now - startedAt, seconds(1));
+    }
+}
+
+TEST(Fleet, NoSeedIsNeededOnceAnybodyKnowsAnybody)
+{
+    FakeCluster cluster({9, 3});
+    cluster.run(seconds(8));
+    for (std::size_t seed = 0; seed < 3; ++seed) {
+        cluster.kill(seed);
+    }
+    cluster.run(seconds(20));
+    EXPECT_TRUE(timeToForce(cluster));
+    EXPECT_EQ(cluster.readers().size(), 3U);
+}
+
+TEST(Fleet, AFleetThatRestartsDuringAnOutageStartsWithTheFirstAnswer)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    cluster.store.faults.isDown = true;
+    for (std::size_t number = 0; number < 75; ++number) {
+        cluster.start(number);
+    }
+    cluster.run(seconds(6));
+    EXPECT_FALSE(areAllLoaded(cluster));
+    const std::uint64_t before = cluster.store.calls;
+    cluster.store.faults.isDown = false;
+    EXPECT_TRUE(cluster.runUntil([&]() { return areAllLoaded(cluster); }, milliseconds(1500)));
+    EXPECT_LT(cluster.store.calls - before, 150U);
+}
+
+TEST(Fleet, AFleetThatLostPowerStartsAtOnce)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    const std::uint64_t before = cluster.store.calls;
+    for (std::size_t number = 0; number < 75; ++number) {
+        cluster.start(number);
+    }
+    EXPECT_TRUE(cluster.runUntil([&]() { return areAllLoaded(cluster); }, milliseconds(250)));
+    EXPECT_LT(cluster.store.calls - before, 75U);
+}
+
+TEST(Fleet, ALeavingTargetIsKnownEverywhereInTime)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    TargetRecord record = cluster.store.readAll().update.targets.front();
+    record.isDraining = true;
+    for (const std::size_t reader : cluster.readers()) {
+        cluster.kill(reader);
+    }
+    cluster.store.put(record);
+    EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isKnownLeaving(record); }, Bound));
+}
+
+TEST(Fleet, ManyChangesAtOnceReachEverybody)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    for (int round = 0; round < 20; ++round) {
+        cluster.store.changeRoutes();
+        for (TargetRecord record : cluster.store.readAll().update.targets) {
+            record.slots = static_cast<std::uint32_t>(round);
+            cluster.store.put(record);
+        }
+        cluster.run(milliseconds(50));
+    }
+    EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, seconds(1)));
+    cluster.run(seconds(2));
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.control->revision(), cluster.store.revision());
+    }
+    EXPECT_EQ(cluster.regressions, 0U);
+}
+
+TEST(Fleet, CallsStayRareThroughAnOutage)
+{
+    FakeCluster cluster({75, 5});
+    cluster.run(seconds(8));
+    const std::uint64_t before = cluster.store.calls;
+    cluster.store.faults.refusesAll = true;
+    cluster.run(seconds(5));
+    EXPECT_LT(cluster.store.calls - before, 250U);
+    cluster.store.faults.refusesAll = false;
+    cluster.run(seconds(2));
+    EXPECT_TRUE(timeToForce(cluster));
+}
+
+} // namespace jasminequay::fleet
--- /dev/null
+++ b/unittests/Steering/choicetest.cpp
@@ -0,0 +1,119 @@
+// Where new flows go; each test names the load that it answers.
+#include "steeringfixture.h"
+
+#include "jasminequay/Steering/targetchoice.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace jasminequay::steering
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A service with targets in two data centres.
+class Choice : public testing::Test
+{
+protected:
+    Choice()
+    {
+        for (std::uint32_t number = 0; number < 8; ++number) {
+            TargetRecord record = targetOf(number);
+            record.dataCentre = number < 4 ? "dc-1" : "dc-2";
+            directory.put(record, Start);
+        }
+    }
+
+    KnownTarget &target(std::uint32_t number)
+    {
+        return *directory.find(targetOf(number).identity.key());
+    }
+
+    /// Places flows one after the other; returns how many each target got.
+    std::map<std::string, std::uint32_t> place(std::uint32_t flows, std::uint64_t avoided = 0)
+    {
+        std::map<std::string, std::uint32_t> placed;
+        for (std::uint32_t caller = 0; caller < flows; ++caller) {
+            KnownTarget *const chosen
+                = chooseTarget(directory.ofService("desk"), {flowOf(caller).hash(), avoided, "dc-1"}, now);
+            if (chosen != nullptr) {
+                ++chosen->openFlows;
+                ++placed[chosen->record.name];
+            }
+        }
+        return placed;
+    }
+
+    TargetDirectory directory;
+    TimePoint now = Start + seconds(1);
+};
+
+TEST_F(Choice, SteadyLoadIsSpreadEvenlyAndStaysInTheDataCentre)
+{
+    const auto placed = place(400);
+    EXPECT_NEAR(placed.at("i-0"), placed.at("i-3"), 1);
+    EXPECT_NEAR(placed.at("i-4"), placed.at("i-7"), 1);
+    EXPECT_GT(placed.at("i-0"), 2 * placed.at("i-4"));
+}
+
+TEST_F(Choice, ASurgeSpillsIntoOtherDataCentres)
+{
+    for (std::uint32_t number = 0; number < 4; ++number) {
+        target(number).openFlows = 1000;
+    }
+    const auto placed = place(100);
+    EXPECT_EQ(placed.count("i-0"), 0U);
+    EXPECT_GT(placed.at("i-4"), 20U);
+}
+
+TEST_F(Choice, AColdTargetTakesLess)
+{
+    target(0).warmAt = now + seconds(2);
+    const auto placed = place(300);
+    EXPECT_LT(placed.at("i-0"), placed.at("i-1") * 0.7);
+    EXPECT_GT(placed.at("i-0"), placed.at("i-1") * 0.5);
+}
+
+TEST_F(Choice, ALeavingTargetGetsNothingEvenAlone)
+{
+    for (std::uint32_t number = 0; number < 8; ++number) {
+        target(number).record.isDraining = number != 6;
+    }
+    EXPECT_EQ(place(20).at("i-6"), 20U);
+    target(6).record.isDraining = true;
+    EXPECT_TRUE(place(20).empty());
+}
+
+TEST_F(Choice, ATargetThatWentSilentIsAvoided)
+{
+    target(1).evidence.noteRepeat(1, now);
+    EXPECT_EQ(place(100).count("i-1"), 0U);
+}
+
+TEST_F(Choice, WhenMostTargetsLookSilentTheEvidenceIsNotBelieved)
+{
+    for (std::uint32_t number = 0; number < 6; ++number) {
+        target(number).evidence.noteRepeat(1, now);
+    }
+    const auto placed = place(400);
+    EXPECT_GT(placed.at("i-0"), 40U);
+}
+
+TEST_F(Choice, OneLapsedEntryIsAvoidedButAMassLapseIsTheStoresFault)
+{
+    directory.remove("i-0", 5, now);
+    EXPECT_EQ(place(100).count("i-0"), 0U);
+    for (std::uint32_t number = 1; number < 8; ++number) {
+        directory.remove("i-" + std::to_string(number), 5, now);
+    }
+    EXPECT_GT(place(100).at("i-0"), 10U);
+}
+
+TEST_F(Choice, AFullTargetThatDroppedTheOpeningIsNotTriedTwice)
+{
+    EXPECT_EQ(place(100, target(2).key).count("i-2"), 0U);
+}
+
+} // namespace jasminequay::steering
--- /dev/null
+++ b/unittests/Steering/directorytest.cpp
@@ -0,0 +1,132 @@
+#include "steeringfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace jasminequay::steering
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static void forgetNothing(std::uint64_t)
+{
+}
+
+static TargetPresence presenceOf(TargetDirectory &directory, const TargetRecord &record)
+{
+    return directory.find(record.identity.key())->presence;
+}
+
+TEST(TargetDirectory, OlderEntriesNeverReplaceNewerOnes)
+{
+    TargetDirectory directory;
+    TargetRecord draining = targetOf(0, 9);
+    draining.isDraining = true;
+    directory.put(draining, Start);
+    directory.put(targetOf(0, 8), Start);
+    EXPECT_TRUE(directory.find(draining.identity.key())->record.isDraining);
+    directory.remove("i-0", 12, Start);
+    directory.put(targetOf(0, 11), Start);
+    EXPECT_EQ(presenceOf(directory, draining), TargetPresence::Lapsed);
+}
+
+TEST(TargetDirectory, AMissingEntryMayComeBackForTwoSecondsAndThenIsGone)
+{
+    TargetDirectory directory;
+    directory.put(targetOf(0, 1), Start);
+    directory.put(targetOf(1, 1), Start);
+    directory.remove("i-0", 2, Start);
+    directory.remove("i-1", 2, Start);
+    directory.expire(Start + seconds(2), forgetNothing);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Lapsed);
+    directory.put(targetOf(0, 3), Start + seconds(2));
+    directory.expire(Start + seconds(3), forgetNothing);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Listed);
+    EXPECT_EQ(presenceOf(directory, targetOf(1)), TargetPresence::Gone);
+}
+
+TEST(TargetDirectory, ARestartUnderTheSameIdEndsTheTargetBefore)
+{
+    TargetDirectory directory;
+    const TargetRecord before = targetOf(0, 1, 100);
+    const TargetRecord after = targetOf(0, 2, 200);
+    directory.put(before, Start);
+    const SteeringToken token = directory.tokenFor(*directory.find(before.identity.key()), 0);
+    directory.put(after, Start + milliseconds(1));
+    EXPECT_EQ(presenceOf(directory, before), TargetPresence::Gone);
+    EXPECT_EQ(presenceOf(directory, after), TargetPresence::Listed);
+    EXPECT_EQ(directory.withToken(token)->key, before.identity.key());
+    ASSERT_EQ(directory.ofService("desk").size(), 1U);
+    EXPECT_EQ(directory.ofService("desk").front()->key, after.identity.key());
+}
+
+TEST(TargetDirectory, AReusedAddressEndsWhoeverHadIt)
+{
+    TargetDirectory directory;
+    directory.put(targetOf(0, 1), Start);
+    TargetRecord other = targetOf(1, 5);
+    other.address = targetOf(0).address;
+    other.service = "guides";
+    directory.put(other, Start);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Gone);
+    EXPECT_TRUE(directory.ofService("desk").empty());
+    // The older entry, learnt late, does not take the address back.
+    TargetRecord late = targetOf(2, 3);
+    late.address = targetOf(0).address;
+    directory.put(late, Start);
+    EXPECT_EQ(presenceOf(directory, late), TargetPresence::Gone);
+    EXPECT_EQ(presenceOf(directory, other), TargetPresence::Listed);
+}
+
+TEST(TargetDirectory, EndedTargetsAreRememberedForTheLifeOfAFlow)
+{
+    TargetDirectory directory;
+    directory.put(targetOf(0, 1), Start);
+    directory.remove("i-0", 2, Start);
+    std::size_t forgotten = 0;
+    const auto count = [&](std::uint64_t) { ++forgotten; };
+    directory.expire(Start + seconds(3), count);
+    directory.expire(Start + seconds(62), count);
+    EXPECT_EQ(forgotten, 0U);
+    directory.expire(Start + seconds(64), count);
+    EXPECT_EQ(forgotten, 1U);
+    EXPECT_TRUE(directory.targets().empty());
+}
+
+TEST(TargetDirectory, ACompleteListRemovesWhatItLacks)
+{
+    TargetDirectory directory;
+    directory.put(targetOf(0, 1), Start);
+    directory.put(targetOf(1, 9), Start);
+    directory.replaceAll({targetOf(2, 4)}, 5, Start);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Lapsed);
+    EXPECT_EQ(presenceOf(directory, targetOf(1)), TargetPresence::Listed) << "the list is older than the entry";
+    EXPECT_EQ(presenceOf(directory, targetOf(2)), TargetPresence::Listed);
+}
+
+TEST(RouteTable, VersionsOnlyGrow)
+{
+    RouteTable routes;
+    EXPECT_TRUE(routes.adopt(routesOf(7)));
+    EXPECT_FALSE(routes.adopt(routesOf(7)));
+    EXPECT_FALSE(routes.adopt(RouteConfiguration{3, {}, {}}));
+    EXPECT_NE(routes.at(Service), nullptr);
+    EXPECT_TRUE(routes.adopt(RouteConfiguration{8, {}, {}}));
+    EXPECT_EQ(routes.at(Service), nullptr);
+}
+
+TEST(RouteTable, EachServiceGetsItsShareOfTheFlows)
+{
+    Route route;
+    route.services = {{"a", 90}, {"b", 10}, {"c", 0}};
+    std::size_t first = 0;
+    constexpr std::size_t Flows = 20000;
+    for (std::uint32_t caller = 0; caller < Flows; ++caller) {
+        const auto order = serviceOrder(route, flowOf(caller).hash());
+        ASSERT_EQ(order.size(), 2U) << "a service without weight gets nothing";
+        first += order.front()->service == "a" ? 1 : 0;
+    }
+    EXPECT_NEAR(static_cast<double>(first) / Flows, 0.9, 0.01);
+}
+
+} // namespace jasminequay::steering
--- /dev/null
+++ b/unittests/Steering/openingordertest.cpp
@@ -0,0 +1,115 @@
+// What may run at most once: every order in which the copies of an opening packet and their answers can arrive.
+#include "steeringfixture.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace jasminequay::steering
+{
+
+/// A target as the protocol describes it: it answers every opening packet; the flow opens where the caller
+/// acknowledges the target's own number; packets of a flow that it does not hold are answered with a reset.
+struct ModelTarget {
+    std::uint32_t number = 0; ///< Its sequence number in the answer to an opening packet.
+    bool isOpen = false;
+    unsigned runs = 0;
+    unsigned resets = 0;
+
+    void onData(std::uint32_t acknowledged)
+    {
+        isOpen = isOpen || acknowledged == number + 1;
+        runs += isOpen ? 1 : 0;
+        resets += isOpen ? 0 : 1;
+    }
+};
+
+/// A caller: the first answer that it hears is the one that it acknowledges; it sends back the last token.
+struct ModelCaller {
+    SteeringToken token = NoToken;
+    std::optional<std::uint32_t> answered;
+
+    void onAnswer(std::uint32_t number, SteeringToken carried)
+    {
+        token = carried;
+        if (!answered) {
+            answered = number;
+        }
+    }
+};
+
+/// The outcome of one order.
+struct Outcome {
+    unsigned runs = 0;
+    unsigned resets = 0;
+};
+
+/// Plays two copies of an opening packet, at the instances that the bits of `path` pick, their answers in one of
+/// two orders, and a request before or after the second answer, repeated once.
+static Outcome play(unsigned path, bool isSecondAnswerFirst, bool isRequestBetween)
+{
+    SteeredInstance instances[2] = {SteeredInstance(2), SteeredInstance(2)};
+    const auto instance = [&](unsigned packet) -> SteeredInstance & { return instances[(path >> packet) & 1]; };
+    ModelTarget targets[2] = {{7000, false, 0, 0}, {9000, false, 0, 0}};
+    const auto targetOfDecision = [&](const SteeringDecision &decision) -> ModelTarget & {
+        return targets[decision.targetId == targetOf(0).identity.id ? 0 : 1];
+    };
+    for (SteeredInstance &each : instances) {
+        each.now = Start;
+    }
+    const SteeringDecision first = instance(0).take(openingOf(1));
+    for (SteeredInstance &each : instances) {
+        each.now = Start + std::chrono::milliseconds(200);
+    }
+    const SteeringDecision second = instance(1).take(openingOf(1, 1));
+    ModelCaller caller;
+    unsigned packet = 2;
+    const auto request = [&]() {
+        const SteeringDecision decision
+            = instance(packet++).take(dataOf(1, caller.token, 1001, *caller.answered + 1, 50));
+        if (decision.action == SteeringAction::Forward) {
+            targetOfDecision(decision).onData(*caller.answered + 1);
+        }
+    };
+    const auto answer = [&](const SteeringDecision &placed) {
+        caller.onAnswer(targetOfDecision(placed).number, placed.token);
+    };
+    answer(isSecondAnswerFirst ? second : first);
+    if (isRequestBetween) {
+        request();
+    }
+    answer(isSecondAnswerFirst ? first : second);
+    request();
+    Outcome outcome;
+    for (const ModelTarget &target : targets) {
+        // The same request sent twice on one open flow is one run: the byte stream drops the repeat.
+        outcome.runs += target.runs > 0 ? 1 : 0;
+        outcome.resets += target.resets;
+    }
+    return outcome;
+}
+
+TEST(OpeningOrder, NoOrderOfArrivalLetsTwoTargetsRunARequest)
+{
+    for (unsigned path = 0; path < 16; ++path) {
+        for (const bool isSecondAnswerFirst : {false, true}) {
+            for (const bool isRequestBetween : {false, true}) {
+                const Outcome outcome = play(path, isSecondAnswerFirst, isRequestBetween);
+                EXPECT_LE(outcome.runs, 1U) << path << isSecondAnswerFirst << isRequestBetween;
+            }
+        }
+    }
+}
+
+TEST(OpeningOrder, AnInstanceThatSawTheFirstRequestKeepsTheFlowWhole)
+{
+    for (const bool isSecondAnswerFirst : {false, true}) {
+        const Outcome outcome = play(0, isSecondAnswerFirst, true);
+        EXPECT_EQ(outcome.runs, 1U) << isSecondAnswerFirst;
+        EXPECT_EQ(outcome.resets, 0U) << isSecondAnswerFirst;
+    }
+}
+
+} // namespace jasminequay::steering
--- /dev/null
+++ b/unittests/Steering/steeringfixture.h
@@ -0,0 +1,150 @@
+// Packets, targets and an engine for tests of steering.
+#pragma once
+
+#include "jasminequay/Steering/steeringengine.h"
+
+#include <string>
+
+namespace jasminequay::steering
+{
+
+constexpr TimePoint Start = TimePoint(std::chrono::hours(1));
+constexpr Endpoint Service{{0xc6120001}, 443};
+
+/// A packet that is nothing but its figures: another attachment than the platform's, with the same concept.
+struct PlainPacket {
+    PacketSummary figures;
+
+    [[nodiscard]] SteeredFlow flow() const
+    {
+        return figures.flow;
+    }
+    [[nodiscard]] SteeringToken token() const
+    {
+        return figures.token;
+    }
+    [[nodiscard]] bool isOpening() const
+    {
+        return figures.isOpening;
+    }
+    [[nodiscard]] std::uint32_t openingCopy() const
+    {
+        return figures.openingCopy;
+    }
+    [[nodiscard]] bool isEnd() const
+    {
+        return figures.isEnd;
+    }
+    [[nodiscard]] bool isReset() const
+    {
+        return figures.isReset;
+    }
+    [[nodiscard]] std::uint32_t sequence() const
+    {
+        return figures.sequence;
+    }
+    [[nodiscard]] std::uint32_t acknowledged() const
+    {
+        return figures.acknowledged;
+    }
+    [[nodiscard]] std::uint32_t dataSize() const
+    {
+        return figures.dataSize;
+    }
+};
+
+static_assert(SteeredPacket<PlainPacket>);
+
+/// Returns the flow of a numbered caller.
+inline SteeredFlow flowOf(std::uint32_t caller)
+{
+    return {{{0x64400000 + (caller >> 14)}, static_cast<std::uint16_t>(1024 + (caller & 0x3fff))}, Service};
+}
+
+/// Returns an opening packet; `copy` counts its copies.
+inline PlainPacket openingOf(std::uint32_t caller, std::uint32_t copy = 0)
+{
+    PlainPacket packet;
+    packet.figures.flow = flowOf(caller);
+    packet.figures.isOpening = true;
+    packet.figures.openingCopy = copy;
+    packet.figures.sequence = 1000;
+    return packet;
+}
+
+/// Returns a later packet with data.
+inline PlainPacket dataOf(std::uint32_t caller, SteeringToken token, std::uint32_t sequence,
+    std::uint32_t acknowledged, std::uint32_t size)
+{
+    PlainPacket packet;
+    packet.figures.flow = flowOf(caller);
+    packet.figures.token = token;
+    packet.figures.sequence = sequence;
+    packet.figures.acknowledged = acknowledged;
+    packet.figures.dataSize = size;
+    return packet;
+}
+
+/// Returns the entry of a numbered target.
+inline TargetRecord targetOf(std::uint32_t number, std::uint64_t revision = 1, std::int64_t startedAt = 1)
+{
+    TargetRecord record;
+    record.name = "i-" + std::to_string(number);
+    record.identity = {number + 1, startedAt};
+    record.address = {{0x0a800000 + number}, 8080};
+    record.service = "desk";
+    record.dataCentre = "dc-1";
+    record.slots = 2;
+    record.revision = revision;
+    return record;
+}
+
+/// Returns routes to one service.
+inline RouteConfiguration routesOf(std::uint64_t version, RequestKind kind = RequestKind::Idempotent)
+{
+    RouteConfiguration configuration;
+    configuration.version = version;
+    configuration.routes.push_back({"r", Service, kind, std::chrono::seconds(1), {{"desk", 1}}});
+    return configuration;
+}
+
+/// An engine with targets, proved to be current.
+class SteeredInstance
+{
+public:
+    explicit SteeredInstance(std::uint32_t targets, RequestKind kind = RequestKind::Idempotent)
+        : engine({"dc-1", 4096, std::chrono::seconds(60), std::chrono::milliseconds(1500), {}})
+    {
+        engine.routes().adopt(routesOf(1, kind));
+        for (std::uint32_t number = 0; number < targets; ++number) {
+            engine.targets().put(targetOf(number), now);
+        }
+        engine.noteCurrent(now);
+    }
+
+    /// Decides about a packet, `after` later.
+    SteeringDecision take(const PlainPacket &packet, Duration after = std::chrono::milliseconds(1))
+    {
+        now += after;
+        return engine.decide(packet, now);
+    }
+
+    /// Opens a flow and returns its target and token.
+    SteeringDecision open(std::uint32_t caller)
+    {
+        const SteeringDecision placed = take(openingOf(caller));
+        take(dataOf(caller, placed.token, 1001, 5000, 0));
+        return placed;
+    }
+
+    /// Returns a target.
+    KnownTarget &target(std::uint32_t number)
+    {
+        return *engine.targets().find(targetOf(number).identity.key());
+    }
+
+    SteeringEngine engine;
+    TimePoint now = Start;
+};
+
+} // namespace jasminequay::steering
