--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -1,5 +1,5 @@
-// What an instance and its peers know together: members, readers of the store, routes, targets, losses. No clock
-// or socket.
+// What an instance and its peers know together: members, readers of the store, routes, targets, losses. No
+// clock or socket.
 #pragma once
 
 #include "jasminequay/Fleet/changehistory.h"
@@ -43,15 +43,16 @@
 struct StoreReadRequest {
     bool isWanted = false; ///< Whether to read now.
     bool isComplete = false; ///< Whether to read everything.
-    /// Whether a complete read may be seconds old: it costs the store little, and the changes since are read next.
+    /// Whether a complete read may be seconds old: it costs the store little, and the changes since are read
+    /// next.
     bool mayBeStale = false;
     std::uint64_t after = 0; ///< The revision after which changes are wanted.
     Duration wait{}; ///< How long to wait for a change.
     Duration timeout{}; ///< How long an answer may take beyond that.
 };
 
-/// Keeps an engine informed. What a peer tells is what the store has told it: revisions order all, and versions
-/// never go back.
+/// Keeps an engine informed. What a peer tells is what the store has told it: revisions order all, and
+/// versions never go back.
 class FleetControl
 {
 public:
--- a/include/jasminequay/Fleet/readerplan.h
+++ b/include/jasminequay/Fleet/readerplan.h
@@ -19,7 +19,8 @@
     Duration takeover;
     /// How much later each next one in the order does.
     Duration stagger;
-    /// How long the first reading of a fleet that starts for the first time waits for peers; seeds do not wait.
+    /// How long the first reading of a fleet that starts for the first time waits for peers; seeds do not
+    /// wait.
     Duration startDelay;
 };
 
@@ -37,14 +38,15 @@
 };
 
 /// Decides when to read. Every instance computes the same order from its members, so that no election is
-/// needed: two readers at once are harmless, and a gap ends when the next in the order finds its knowledge old.
+/// needed: two readers at once are harmless, and a gap ends when the next in the order finds its knowledge
+/// old.
 class ReaderPlan
 {
 public:
-    /// `mayStartAtOnce` is for restarts, and for seeds, from which the others learn. `readsPerSecond` is the fleet's
-    /// budget.
-    ReaderPlan(ReaderTiming timing, bool mayStartAtOnce, double readsPerSecond, TimePoint now,
-        std::uint64_t seed);
+    /// `mayStartAtOnce` is for restarts, and for seeds, from which the others learn. `readsPerSecond` is the
+    /// fleet's budget.
+    ReaderPlan(
+        ReaderTiming timing, bool mayStartAtOnce, double readsPerSecond, TimePoint now, std::uint64_t seed);
 
     /// Tells whether to read now.
     [[nodiscard]] bool wantsRead(const ReaderView &view, TimePoint now) const;
--- a/include/jasminequay/Membership/digest.h
+++ b/include/jasminequay/Membership/digest.h
@@ -20,8 +20,8 @@
     std::uint64_t settingsVersion = 0; ///< In force at the member.
     bool isPlatformFailing = false; ///< Whether the member cannot reach the platform.
     /// Where the member is reached; port zero where the platform's list tells it.
-    Endpoint control;
-    std::string dataCentre; ///< Empty where all members are of one data centre.
+    Endpoint control = {};
+    std::string dataCentre = {}; ///< Empty where all members are of one data centre.
 };
 
 /// A heartbeat. The sender's own entry comes first.
--- a/include/jasminequay/Node/directoryfeed.h
+++ b/include/jasminequay/Node/directoryfeed.h
@@ -22,8 +22,12 @@
 template <typename Store>
 concept DirectoryStore = requires(Store store, Duration duration, std::uint64_t revision)
 {
-    { store.readAll(true, duration) } -> std::same_as<boost::asio::awaitable<StoreAnswer>>;
-    { store.watch(revision, duration, duration) } -> std::same_as<boost::asio::awaitable<StoreAnswer>>;
+    {
+        store.readAll(true, duration)
+        } -> std::same_as<boost::asio::awaitable<StoreAnswer>>;
+    {
+        store.watch(revision, duration, duration)
+        } -> std::same_as<boost::asio::awaitable<StoreAnswer>>;
 };
 
 /// What the owner of a feed provides.
@@ -67,8 +71,7 @@
             if (!request.isWanted) {
                 m_timer.expires_after(IdleInterval);
                 boost::system::error_code ignored; // a wake-up is no failure
-                co_await m_timer.async_wait(
-                    boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+                co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
                 continue;
             }
             // GCC 12 destroys the operands of a conditional with co_await twice.
--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -19,8 +19,8 @@
 template <typename Attachment>
 concept SteeringDeployment = SteeringAttachment<Attachment> && DirectoryStore<typename Attachment::Store>;
 
-/// Runs an instance on one thread: packets, reads of the store, peers and pages take turns, as a decision costs
-/// microseconds and the platform runs one thread at a time.
+/// Runs an instance on one thread: packets, reads of the store, peers and pages take turns, as a decision
+/// costs microseconds and the platform runs one thread at a time.
 template <SteeringDeployment Attachment> class SteeringNode
 {
 public:
@@ -90,7 +90,8 @@
     {
         if (path == PeerChannel::ImagePath) {
             std::string image = m_control.image(bootTime());
-            return image.empty() ? OperatorPage{503, "nothing is known yet\n"} : OperatorPage{200, std::move(image)};
+            return image.empty() ? OperatorPage{503, "nothing is known yet\n"}
+                                 : OperatorPage{200, std::move(image)};
         }
         if (path == "/metrics") {
             return {200, steeringMetricsPage(m_control, m_path.counters(), bootTime())};
--- a/include/jasminequay/Node/steeringpath.h
+++ b/include/jasminequay/Node/steeringpath.h
@@ -8,8 +8,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,14 +28,18 @@
 /// How an attachment writes packets: its heads, where tokens go, and what stands before a packet that is sent
 /// to a target.
 template <typename Attachment>
-concept SteeringAttachment = SteeredPacket<typename Attachment::Packet>
-    && requires(std::span<std::uint8_t> bytes, SteeredFlow flow, std::uint32_t sequence, SteeringToken token,
-        std::uint64_t target)
+concept SteeringAttachment
+    = SteeredPacket<typename Attachment::Packet> && requires(std::span<std::uint8_t> bytes, SteeredFlow flow,
+        std::uint32_t sequence, SteeringToken token, std::uint64_t target)
 {
-    { Attachment::Packet::parse(bytes) } -> std::same_as<std::optional<typename Attachment::Packet>>;
-    { Attachment::writeForward(bytes, target, token) };
-    { Attachment::Packet::makeReset(flow, sequence) };
-    { Attachment::Headroom } -> std::convertible_to<std::size_t>;
+    {
+        Attachment::Packet::parse(bytes)
+        } -> std::same_as<std::optional<typename Attachment::Packet>>;
+    {Attachment::writeForward(bytes, target, token)};
+    {Attachment::Packet::makeReset(flow, sequence)};
+    {
+        Attachment::Headroom
+        } -> std::convertible_to<std::size_t>;
 };
 
 /// Counters of the packet path.
--- a/include/jasminequay/Peer/fleetcodec.h
+++ b/include/jasminequay/Peer/fleetcodec.h
@@ -16,7 +16,8 @@
 /// Encodes a message: a mark of the protocol and its version, a checksum, and the message.
 std::string encodeNews(const FleetNews &news);
 
-/// Decodes a message; fails for bytes that no peer sent: without the mark, damaged, or with values out of range.
+/// Decodes a message; fails for bytes that no peer sent: without the mark, damaged, or with values out of
+/// range.
 Result<FleetNews> decodeNews(std::string_view bytes, const std::string &peer);
 
 /// Encodes everything that an instance knows, deflated.
--- a/include/jasminequay/Settings/steeringinstancesettings.h
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -41,7 +41,8 @@
 /// Parses and checks the settings file. Any bytes are safe.
 ParsedSteeringInstanceSettings parseSteeringInstanceSettings(const std::string &text);
 
-/// Tells whether a text holds settings of an instance that steers by token rather than of one that owns flows.
+/// Tells whether a text holds settings of an instance that steers by token rather than of one that owns
+/// flows.
 bool isSteeringInstanceSettings(const std::string &text);
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/flowmemory.h
+++ b/include/jasminequay/Steering/flowmemory.h
@@ -1,5 +1,5 @@
-// What an instance remembers of the flows whose packets it has seen: a bounded cache. Losing an entry only loses
-// evidence, as each packet carries its target's token.
+// What an instance remembers of the flows whose packets it has seen: a bounded cache. Losing an entry only
+// loses evidence, as each packet carries its target's token.
 #pragma once
 
 #include "jasminequay/Packet/endpoint.h"
--- a/include/jasminequay/Steering/steeredpacket.h
+++ b/include/jasminequay/Steering/steeredpacket.h
@@ -13,17 +13,35 @@
 template <typename Packet>
 concept SteeredPacket = requires(const Packet packet)
 {
-    { packet.flow() } -> std::same_as<SteeredFlow>;
-    { packet.token() } -> std::same_as<SteeringToken>;
-    { packet.isOpening() } -> std::same_as<bool>;
+    {
+        packet.flow()
+        } -> std::same_as<SteeredFlow>;
+    {
+        packet.token()
+        } -> std::same_as<SteeringToken>;
+    {
+        packet.isOpening()
+        } -> std::same_as<bool>;
     /// Counts the copies of an opening packet from zero.
-    { packet.openingCopy() } -> std::same_as<std::uint32_t>;
-    { packet.isEnd() } -> std::same_as<bool>;
-    { packet.isReset() } -> std::same_as<bool>;
-    { packet.sequence() } -> std::same_as<std::uint32_t>;
-    { packet.acknowledged() } -> std::same_as<std::uint32_t>;
+    {
+        packet.openingCopy()
+        } -> std::same_as<std::uint32_t>;
+    {
+        packet.isEnd()
+        } -> std::same_as<bool>;
+    {
+        packet.isReset()
+        } -> std::same_as<bool>;
+    {
+        packet.sequence()
+        } -> std::same_as<std::uint32_t>;
+    {
+        packet.acknowledged()
+        } -> std::same_as<std::uint32_t>;
     /// The bytes of data.
-    { packet.dataSize() } -> std::same_as<std::uint32_t>;
+    {
+        packet.dataSize()
+        } -> std::same_as<std::uint32_t>;
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -99,14 +99,15 @@
     SteeringDecision forward(KnownTarget &target, SteeringToken token, SteeringCause cause);
     SteeringDecision refuse(SteeringCause cause, std::uint32_t sequence);
     SteeringDecision ignore(SteeringCause cause);
-    KnownTarget *place(const Route &route, std::uint64_t flowHash, std::uint64_t avoided, SteeringToken &token,
-        TimePoint now);
+    KnownTarget *place(const Route &route, std::uint64_t flowHash, std::uint64_t avoided,
+        SteeringToken &token, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void learnFrom(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     void release(FlowState &state);
     [[nodiscard]] bool isCurrent(TimePoint now) const;
-    [[nodiscard]] bool mayBreakOff(const SteeredFlow &flow, const FlowState *state, TargetVerdict verdict) const;
+    [[nodiscard]] bool mayBreakOff(
+        const SteeredFlow &flow, const FlowState *state, TargetVerdict verdict) const;
     [[nodiscard]] std::optional<SteeringCause> lossOf(
         const KnownTarget &target, const SteeredFlow &flow, const FlowState *state, TimePoint now) const;
 
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -17,9 +17,9 @@
     std::string dataCentre; ///< The instance's own.
 };
 
-/// Chooses the target with the fewest flows for its slots among those that may take a new one; null where none
-/// may. Targets of the own data centre come first unless they are much fuller. Suspects are avoided unless
-/// they are most of the service; the rendezvous order breaks ties.
+/// Chooses the target with the fewest flows for its slots among those that may take a new one; null where
+/// none may. Targets of the own data centre come first unless they are much fuller. Suspects are avoided
+/// unless they are most of the service; the rendezvous order breaks ties.
 KnownTarget *chooseTarget(
     const std::vector<KnownTarget *> &targets, const ChoiceRequest &request, TimePoint now);
 
--- a/include/jasminequay/Support/bootclock.h
+++ b/include/jasminequay/Support/bootclock.h
@@ -8,8 +8,8 @@
 namespace jasminequay
 {
 
-/// Returns the time since the machine started, its suspensions included: what was believed before a suspension
-/// is as old as it is.
+/// Returns the time since the machine started, its suspensions included: what was believed before a
+/// suspension is as old as it is.
 inline TimePoint bootTime()
 {
     timespec time{};
--- a/include/jasminequay/Support/linelog.h
+++ b/include/jasminequay/Support/linelog.h
@@ -18,9 +18,9 @@
     std::size_t backlogBytes = 64 << 10; ///< What waits for a slow reader.
 };
 
-/// Writes lines as "time=... boot_ms=... level=... event=... key=value". Lines over the budget of their kind, or
-/// for which a slow reader leaves no room, are counted and left out; a line then says how many. One thread uses
-/// it.
+/// Writes lines as "time=... boot_ms=... level=... event=... key=value". Lines over the budget of their kind,
+/// or for which a slow reader leaves no room, are counted and left out; a line then says how many. One thread
+/// uses it.
 class LineLog
 {
 public:
@@ -45,7 +45,8 @@
         std::uint64_t leftOut = 0;
     };
 
-    void append(std::string_view level, const std::string &pairs, TimePoint now, std::int64_t wallMilliseconds);
+    void append(
+        std::string_view level, const std::string &pairs, TimePoint now, std::int64_t wallMilliseconds);
     void write();
 
     int m_descriptor;
--- a/lib/Fleet/changehistory.cpp
+++ b/lib/Fleet/changehistory.cpp
@@ -3,8 +3,8 @@
 namespace jasminequay
 {
 
-/// Entries that are handed on at once: about a hundred bytes each, so that a message stays below the size of a
-/// packet on an Ethernet link.
+/// Entries that are handed on at once: about a hundred bytes each, so that a message stays below the size of
+/// a packet on an Ethernet link.
 constexpr std::size_t MaximumEntries = 10;
 
 static std::size_t entriesOf(const DirectoryChanges &changes)
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -68,8 +68,8 @@
     }
 }
 
-/// Returns the instances of a data centre in the order in which they should read the store. Those that the store
-/// failed come last.
+/// Returns the instances of a data centre in the order in which they should read the store. Those that the
+/// store failed come last.
 std::vector<std::string> FleetControl::computeReaderOrder(const std::string &dataCentre) const
 {
     struct Candidate {
@@ -193,8 +193,7 @@
 }
 
 /// Adds all members of the own data centre and, where wanted, the first readers of the others.
-void FleetControl::addReceivers(
-    FleetActions &actions, const FleetNews &news, bool withOtherDataCentres) const
+void FleetControl::addReceivers(FleetActions &actions, const FleetNews &news, bool withOtherDataCentres) const
 {
     std::vector<std::string> otherDataCentres;
     for (const auto &[name, member] : m_members.members()) {
--- a/lib/Fleet/readerplan.cpp
+++ b/lib/Fleet/readerplan.cpp
@@ -57,8 +57,8 @@
     return Duration(distribution(random));
 }
 
-ReaderPlan::ReaderPlan(ReaderTiming timing, bool mayStartAtOnce, double readsPerSecond, TimePoint now,
-    std::uint64_t seed)
+ReaderPlan::ReaderPlan(
+    ReaderTiming timing, bool mayStartAtOnce, double readsPerSecond, TimePoint now, std::uint64_t seed)
     : m_timing(timing)
     , m_readsPerSecond(readsPerSecond)
     , m_random(seed)
--- a/lib/Node/peerchannel.cpp
+++ b/lib/Node/peerchannel.cpp
@@ -64,7 +64,8 @@
 {
     while (m_socket.is_open()) {
         asio::ip::udp::endpoint sender;
-        const auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(m_buffer), sender, Awaited);
+        const auto [error, size]
+            = co_await m_socket.async_receive_from(asio::buffer(m_buffer), sender, Awaited);
         if (!error) {
             take(size, {sender.address().to_v4().to_uint()});
         }
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -61,7 +61,9 @@
     , m_peers(context,
           {[this](const FleetNews &news) { perform(m_fleet.onNews(news, bootTime())); },
               [this](const DirectoryImage &image) { perform(m_fleet.onImage(image, bootTime())); },
-              [this](Endpoint) { m_fleet.onFetchFailed(bootTime()); }})
+              [this](Endpoint) {
+                  m_fleet.onFetchFailed(bootTime());
+              }})
     , m_tickedAt(now)
 {
 }
@@ -79,8 +81,8 @@
 void SteeringControl::takeAnswer(const StoreAnswer &answer, TimePoint startedAt, TimePoint now)
 {
     m_store.calls += answer.calls;
-    m_store.changes += answer.update.targets.size() + answer.update.removals.size()
-        + (answer.update.routes ? 1 : 0);
+    m_store.changes
+        += answer.update.targets.size() + answer.update.removals.size() + (answer.update.routes ? 1 : 0);
     noteStore(answer);
     perform(m_fleet.onStoreAnswer(answer, startedAt, now));
 }
@@ -94,7 +96,8 @@
         return;
     }
     m_isStoreFailing = isFailing;
-    LogEvent event(isFailing ? Severity::Warning : Severity::Info, isFailing ? "store-lost" : "store-regained");
+    LogEvent event(
+        isFailing ? Severity::Warning : Severity::Info, isFailing ? "store-lost" : "store-regained");
     event.with("store", format(m_settings.store)).with("outcome", storeOutcomeName(answer.outcome));
     if (isFailing) {
         event.with("reason", answer.reason);
@@ -254,8 +257,8 @@
             .with("verdict", targetVerdictName(verdict))
             .with("data_centre", target.record.dataCentre);
     }
-    std::erase_if(m_reportedLosses,
-        [now](const auto &item) { return now - item.second > 10 * LossReportInterval; });
+    std::erase_if(
+        m_reportedLosses, [now](const auto &item) { return now - item.second > 10 * LossReportInterval; });
     if (!losses.empty()) {
         perform(m_fleet.reportLosses(losses, now));
     }
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -46,17 +46,16 @@
             ++byVerdict[targetVerdictName(target.evidence.verdict(now))];
         }
     }
-    prometheus::MetricFamily &targets
-        = page.family("targets", "Known targets, by what is believed of them.", prometheus::MetricType::Gauge);
+    prometheus::MetricFamily &targets = page.family(
+        "targets", "Known targets, by what is believed of them.", prometheus::MetricType::Gauge);
     for (const auto &[verdict, count] : byVerdict) {
         prometheus::ClientMetric metric;
         metric.gauge.value = count;
         metric.label.push_back({"verdict", std::string(verdict)});
         targets.metric.push_back(metric);
     }
-    prometheus::MetricFamily &probes = page.family(
-        "target_probes_total", "Connections made to find out about targets, by outcome.",
-        prometheus::MetricType::Counter);
+    prometheus::MetricFamily &probes = page.family("target_probes_total",
+        "Connections made to find out about targets, by outcome.", prometheus::MetricType::Counter);
     for (const auto &[outcome, count] : control.probeCounters()) {
         prometheus::ClientMetric metric = PageBuilder::counterMetric(count);
         metric.label.push_back({"outcome", std::string(reachabilityName(outcome))});
@@ -72,7 +71,8 @@
         static_cast<double>(control.engine().routes().configuration().version));
     page.gauge("store_revision", "The revision of the store up to which changes are known.",
         static_cast<double>(fleet.revision()));
-    page.gauge("knowledge_age_seconds", "How long ago routes and targets were proved to be complete.", age.count());
+    page.gauge(
+        "knowledge_age_seconds", "How long ago routes and targets were proved to be complete.", age.count());
     page.gauge("flows", "Flows that are remembered.", static_cast<double>(control.engine().flows().size()));
     page.gauge("members", "Other instances known.", static_cast<double>(fleet.members().members().size()));
     page.gauge("members_reachable", "Other instances that answer.",
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -172,7 +172,8 @@
     std::memcpy(&checksum, bytes.data() + NewsMark.size(), ChecksumSize);
     const std::string_view message = bytes.substr(headSize);
     wire::WireNews wire;
-    if (checksum != hashText(message) || !wire.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+    if (checksum != hashText(message)
+        || !wire.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
         return fail(Step::DecodePeer, peer, "the message is damaged");
     }
     const std::optional<Digest> digest = fromWire(wire.digest());
--- a/lib/Platform/reachabilityprobe.cpp
+++ b/lib/Platform/reachabilityprobe.cpp
@@ -24,8 +24,7 @@
     if (!error) {
         co_return Reachability::Connected;
     }
-    const bool isRefused
-        = error == asio::error::connection_refused || error == asio::error::connection_reset;
+    const bool isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
     co_return isRefused ? Reachability::Refused : Reachability::Silent;
 }
 
--- a/lib/Settings/steeringinstancesettings.cpp
+++ b/lib/Settings/steeringinstancesettings.cpp
@@ -45,8 +45,7 @@
     mapping.takeParsed("readiness", Kind, true, parseEndpoint, settings.readiness);
     mapping.takeParsed("control", Kind, true, parseEndpoint, settings.control);
     mapping.takeParsed("store", Kind, true, parseEndpoint, settings.store);
-    mapping.takeParsed(
-        "peer-port", "a port from 1 to 65535", true, parseWithin<1, 65535>, settings.peerPort);
+    mapping.takeParsed("peer-port", "a port from 1 to 65535", true, parseWithin<1, 65535>, settings.peerPort);
 }
 
 static void readTimes(YamlMapping &mapping, SteeringInstanceSettings &settings)
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -120,8 +120,8 @@
 }
 
 /// Selects a target and one of its tokens. A target all of whose tokens are shared is passed over.
-KnownTarget *SteeringEngine::place(const Route &route, std::uint64_t flowHash, std::uint64_t avoided,
-    SteeringToken &token, TimePoint now)
+KnownTarget *SteeringEngine::place(
+    const Route &route, std::uint64_t flowHash, std::uint64_t avoided, SteeringToken &token, TimePoint now)
 {
     ChoiceRequest request{flowHash, avoided, m_settings.dataCentre};
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
@@ -158,8 +158,7 @@
         before->evidence.noteUnansweredOpening(now);
     }
     SteeringToken token = NoToken;
-    KnownTarget *const target
-        = place(*route, packet.flow.hash(), isCopy ? known->target : 0, token, now);
+    KnownTarget *const target = place(*route, packet.flow.hash(), isCopy ? known->target : 0, token, now);
     if (target == nullptr) {
         return isCurrent(now) ? refuse(SteeringCause::NoTarget, 0) : ignore(SteeringCause::NoTarget);
     }
@@ -192,8 +191,7 @@
 }
 
 /// What may run at most once is not broken off while its target may still be at work on it.
-bool SteeringEngine::mayBreakOff(
-    const SteeredFlow &flow, const FlowState *state, TargetVerdict verdict) const
+bool SteeringEngine::mayBreakOff(const SteeredFlow &flow, const FlowState *state, TargetVerdict verdict) const
 {
     if (verdict == TargetVerdict::Dead) {
         return true;
@@ -326,8 +324,7 @@
     m_cleanedAt = isCleaning ? now : m_cleanedAt;
     for (auto position = m_flows.flows().begin(); position != m_flows.flows().end();) {
         auto &[flow, state] = *position;
-        const Duration lifetime
-            = state.stage == FlowStage::Ending ? EndedLifetime : m_settings.flowLifetime;
+        const Duration lifetime = state.stage == FlowStage::Ending ? EndedLifetime : m_settings.flowLifetime;
         bool isErased = now - state.seenAt > lifetime;
         const auto found = lost.find(state.target);
         if (found != lost.end() && state.stage != FlowStage::Opening && resets.size() < limit) {
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -44,7 +44,8 @@
 
 static double costOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
-    const double slots = std::max<std::uint32_t>(target.record.slots, 1) * (now < target.warmAt ? ColdShare : 1);
+    const double slots
+        = std::max<std::uint32_t>(target.record.slots, 1) * (now < target.warmAt ? ColdShare : 1);
     const double load = (target.openFlows + 1) / slots;
     return target.record.dataCentre == request.dataCentre ? load : load * RemoteCost;
 }
@@ -70,8 +71,8 @@
     const bool isPanic = static_cast<double>(suspects) > PanicShare * size;
     const bool isMassLapse = static_cast<double>(lapsed) > MassLapseShare * size;
     for (auto &[standing, target] : ranked) {
-        const bool isForgiven = (standing == Standing::Suspect && isPanic)
-            || (standing == Standing::Lapsed && isMassLapse);
+        const bool isForgiven
+            = (standing == Standing::Suspect && isPanic) || (standing == Standing::Lapsed && isMassLapse);
         standing = isForgiven ? Standing::Good : standing;
     }
     const auto isBetter = [&](const auto &left, const auto &right) {
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -147,8 +147,8 @@
 void TargetDirectory::expire(TimePoint now, const std::function<void(std::uint64_t)> &forget)
 {
     for (auto &[key, target] : m_targets) {
-        const bool isOverdue = target.presence == TargetPresence::Lapsed
-            && now - target.presenceSince >= m_timing.lapseGrace;
+        const bool isOverdue
+            = target.presence == TargetPresence::Lapsed && now - target.presenceSince >= m_timing.lapseGrace;
         if (isOverdue) {
             end(target, now);
         }
--- a/lib/Support/linelog.cpp
+++ b/lib/Support/linelog.cpp
@@ -5,6 +5,8 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <utility>
+
 namespace jasminequay
 {
 
@@ -70,15 +72,16 @@
 
 void LineLog::flush(TimePoint now, std::int64_t wallMilliseconds)
 {
-    if (now - m_summarizedAt >= SummaryInterval) {
-        m_summarizedAt = now;
-        for (auto &[event, kind] : m_kinds) {
-            if (kind.leftOut == 0 || m_backlog.size() >= m_limits.backlogBytes) {
-                continue;
-            }
-            append("info", "event=lines-left-out of=" + event + " count=" + std::to_string(kind.leftOut), now,
-                wallMilliseconds);
-            kind.leftOut = 0;
+    write();
+    // A reader that stalls gets the counts once it has made room.
+    if (now - m_summarizedAt < SummaryInterval || m_backlog.size() >= m_limits.backlogBytes / 2) {
+        return;
+    }
+    m_summarizedAt = now;
+    for (auto &[event, kind] : m_kinds) {
+        if (kind.leftOut > 0) {
+            const std::string count = std::to_string(std::exchange(kind.leftOut, 0));
+            append("info", "event=lines-left-out of=" + event + " count=" + count, now, wallMilliseconds);
         }
     }
     write();
--- a/tools/jasminequay/steercommand.cpp
+++ b/tools/jasminequay/steercommand.cpp
@@ -46,8 +46,8 @@
 
 ExitCode runSteer(int argumentCount, char **arguments)
 {
-    cxxopts::Options options(
-        "jasminequay steer", "Runs one instance that steers by token until SIGTERM; a second one ends it at once");
+    cxxopts::Options options("jasminequay steer",
+        "Runs one instance that steers by token until SIGTERM; a second one ends it at once");
     options.add_options()("settings", "the settings of the instance; the platform tells them elsewhere",
         cxxopts::value<std::string>()->default_value(platform::settingsPath()));
     ExitCode exit = ExitCode::Success;
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -221,7 +221,8 @@
         answer(number, {StoreOutcome::Refused, {}, "turned away", 1});
         return;
     }
-    const Duration longest = (read.request.isComplete ? Duration::zero() : read.request.wait) + read.request.timeout;
+    const Duration longest
+        = (read.request.isComplete ? Duration::zero() : read.request.wait) + read.request.timeout;
     if (isStoreCut(number) || read.isSilent) {
         if (waited >= longest) {
             answer(number, {StoreOutcome::Failed, {}, "no answer", 1});
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -115,7 +115,8 @@
         cluster.run(milliseconds(1000));
         cluster.store.forgetHistory();
         cluster.store.faults.areWatchesSilent = false;
-        EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, Bound - milliseconds(1000)))
+        EXPECT_TRUE(
+            cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, Bound - milliseconds(1000)))
             << offset;
     }
 }
--- /dev/null
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -0,0 +1,133 @@
+#include "jasminequay/Peer/fleetcodec.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace jasminequay
+{
+
+static TargetRecord sampleTarget(std::uint32_t number)
+{
+    return {"i-" + std::to_string(number), {number + 1, 1'790'000'000'000}, {{0x0a800000 + number}, 8080},
+        "desk", "dc-1", 2, number % 2 == 1, std::chrono::milliseconds(1500), 70 + number};
+}
+
+static FleetNews sampleNews()
+{
+    FleetNews news;
+    news.sender = "10.1.0.10:8166";
+    DigestEntry self;
+    self.instance = news.sender;
+    self.incarnation = 5;
+    self.heartbeat = 9;
+    self.phase = MemberPhase::Ready;
+    self.settingsVersion = 7;
+    self.isPlatformFailing = true;
+    self.control = {{0x0a01000a}, 8166};
+    self.dataCentre = "dc-1";
+    news.digest.entries.push_back(self);
+    news.digest.wantsReply = true;
+    news.standing = {true, 71, 7, std::chrono::milliseconds(250), true};
+    news.changes = {69, 71, {sampleTarget(1)}, {{"i-9", 70}}};
+    news.losses = {{0x1234, TargetVerdict::Unreachable}};
+    return news;
+}
+
+/// Decodes or returns the message of the failure.
+static std::optional<FleetNews> decoded(std::string_view bytes)
+{
+    return withFailure(
+        [&]() -> Result<std::optional<FleetNews>> {
+            BOOST_LEAF_AUTO(news, decodeNews(bytes, "peer"));
+            return std::optional(news);
+        },
+        [](const Failure &) { return std::optional<FleetNews>(); });
+}
+
+static std::optional<DirectoryImage> decodedImage(const std::string &bytes)
+{
+    return withFailure(
+        [&]() -> Result<std::optional<DirectoryImage>> {
+            BOOST_LEAF_AUTO(image, decodeImage(bytes, "peer"));
+            return std::optional(image);
+        },
+        [](const Failure &) { return std::optional<DirectoryImage>(); });
+}
+
+TEST(FleetCodec, NewsSurviveTheWire)
+{
+    const std::optional<FleetNews> news = decoded(encodeNews(sampleNews()));
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->sender, "10.1.0.10:8166");
+    const DigestEntry &self = news->digest.entries.front();
+    EXPECT_EQ(self.control, (Endpoint{{0x0a01000a}, 8166}));
+    EXPECT_EQ(self.dataCentre, "dc-1");
+    EXPECT_TRUE(self.isPlatformFailing);
+    EXPECT_TRUE(news->standing.isReading);
+    EXPECT_EQ(news->standing.age, std::chrono::milliseconds(250));
+    EXPECT_EQ(news->changes.after, 69U);
+    ASSERT_EQ(news->changes.targets.size(), 1U);
+    EXPECT_EQ(news->changes.targets[0].identity, sampleTarget(1).identity);
+    EXPECT_TRUE(news->changes.targets[0].isDraining);
+    EXPECT_EQ(news->changes.removals[0].revision, 70U);
+    EXPECT_EQ(news->losses[0].verdict, TargetVerdict::Unreachable);
+}
+
+TEST(FleetCodec, AReadersMessageIsSmall)
+{
+    FleetNews news = sampleNews();
+    news.changes = {};
+    news.losses.clear();
+    EXPECT_LE(encodeNews(news).size(), 128U);
+}
+
+TEST(FleetCodec, WhatNoPeerSentIsRefused)
+{
+    const std::string good = encodeNews(sampleNews());
+    EXPECT_FALSE(decoded(""));
+    EXPECT_FALSE(decoded("GET / HTTP/1.1\r\n\r\n"));
+    EXPECT_FALSE(decoded(std::string_view(good).substr(0, good.size() - 1)));
+    EXPECT_FALSE(decoded(std::string(MaximumNewsSize + 1, 'x')));
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 20000; ++round) {
+        std::string bytes = good;
+        const std::size_t position = random() % bytes.size();
+        const auto before = bytes[position];
+        bytes[position] = static_cast<char>(random());
+        EXPECT_EQ(decoded(bytes).has_value(), bytes[position] == before);
+    }
+}
+
+TEST(FleetCodec, AnImageSurvivesTheWireAndDamageDoesNot)
+{
+    DirectoryImage image;
+    image.age = std::chrono::milliseconds(30);
+    image.update.revision = 99;
+    image.update.isComplete = true;
+    image.update.routes = RouteConfiguration{7, std::chrono::seconds(15),
+        {{"r", {{1}, 443}, RequestKind::Download, std::chrono::seconds(5), {{"desk", 90}, {"guides", 10}}}}};
+    for (std::uint32_t number = 0; number < 150; ++number) {
+        image.update.targets.push_back(sampleTarget(number));
+    }
+    image.update.removals = {{"i-3", 99}};
+    image.update.tombstones = {sampleTarget(500)};
+    const std::string good = encodeImage(image);
+    EXPECT_LT(good.size(), 5000U);
+    const std::optional<DirectoryImage> back = decodedImage(good);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->update.targets.size(), 150U);
+    EXPECT_EQ(back->update.routes->routes[0].kind, RequestKind::Download);
+    EXPECT_EQ(back->update.routes->routes[0].services[1].weight, 10);
+    EXPECT_EQ(back->update.tombstones[0].name, "i-500");
+    EXPECT_EQ(back->update.removals[0].name, "i-3");
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 10000; ++round) {
+        std::string bytes = good;
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(round % 7 == 0 ? random() % bytes.size() : bytes.size());
+        decodedImage(bytes);
+    }
+}
+
+} // namespace jasminequay
--- a/unittests/Steering/directorytest.cpp
+++ b/unittests/Steering/directorytest.cpp
@@ -84,7 +84,9 @@
     directory.put(targetOf(0, 1), Start);
     directory.remove("i-0", 2, Start);
     std::size_t forgotten = 0;
-    const auto count = [&](std::uint64_t) { ++forgotten; };
+    const auto count = [&](std::uint64_t) {
+        ++forgotten;
+    };
     directory.expire(Start + seconds(3), count);
     directory.expire(Start + seconds(62), count);
     EXPECT_EQ(forgotten, 0U);
@@ -100,7 +102,8 @@
     directory.put(targetOf(1, 9), Start);
     directory.replaceAll({targetOf(2, 4)}, 5, Start);
     EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Lapsed);
-    EXPECT_EQ(presenceOf(directory, targetOf(1)), TargetPresence::Listed) << "the list is older than the entry";
+    EXPECT_EQ(presenceOf(directory, targetOf(1)), TargetPresence::Listed)
+        << "the list is older than the entry";
     EXPECT_EQ(presenceOf(directory, targetOf(2)), TargetPresence::Listed);
 }
 
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -59,7 +59,8 @@
     const SteeringDecision dropped = instance.take(dataOf(1, placed.token, 1001, 5000, 10));
     EXPECT_EQ(dropped.cause, SteeringCause::RouteDropped);
     EXPECT_EQ(dropped.resetSequence, 5000U);
-    EXPECT_EQ(instance.take(dataOf(1, placed.token, 1001, 5000, 10), seconds(5)).action, SteeringAction::Forward);
+    EXPECT_EQ(
+        instance.take(dataOf(1, placed.token, 1001, 5000, 10), seconds(5)).action, SteeringAction::Forward);
 }
 
 TEST(SteeringEngine, ADrainingTargetKeepsItsFlowsAndGetsNoNewOnes)
@@ -172,8 +173,8 @@
     EXPECT_EQ(instance.target(0).evidence.verdict(instance.now + seconds(1)), TargetVerdict::Suspect);
 }
 
-/// A download across a cut: its target gets no acknowledgements, repeats what it has sent, and the caller repeats
-/// its last acknowledgement.
+/// A download across a cut: its target gets no acknowledgements, repeats what it has sent, and the caller
+/// repeats its last acknowledgement.
 TEST(SteeringEngine, ARepeatedAcknowledgementIsARepeat)
 {
     SteeredInstance instance(1);
--- a/unittests/Steering/openingordertest.cpp
+++ b/unittests/Steering/openingordertest.cpp
@@ -1,4 +1,5 @@
-// What may run at most once: every order in which the copies of an opening packet and their answers can arrive.
+// What may run at most once: every order in which the copies of an opening packet and their answers can
+// arrive.
 #include "steeringfixture.h"
 
 #include <gtest/gtest.h>
@@ -46,12 +47,14 @@
     unsigned resets = 0;
 };
 
-/// Plays two copies of an opening packet, at the instances that the bits of `path` pick, their answers in one of
-/// two orders, and a request before or after the second answer, repeated once.
+/// Plays two copies of an opening packet, at the instances that the bits of `path` pick, their answers in one
+/// of two orders, and a request before or after the second answer, repeated once.
 static Outcome play(unsigned path, bool isSecondAnswerFirst, bool isRequestBetween)
 {
     SteeredInstance instances[2] = {SteeredInstance(2), SteeredInstance(2)};
-    const auto instance = [&](unsigned packet) -> SteeredInstance & { return instances[(path >> packet) & 1]; };
+    const auto instance = [&](unsigned packet) -> SteeredInstance & {
+        return instances[(path >> packet) & 1];
+    };
     ModelTarget targets[2] = {{7000, false, 0, 0}, {9000, false, 0, 0}};
     const auto targetOfDecision = [&](const SteeringDecision &decision) -> ModelTarget & {
         return targets[decision.targetId == targetOf(0).identity.id ? 0 : 1];
--- /dev/null
+++ b/unittests/UsersPlatform/storerecordstest.cpp
@@ -0,0 +1,167 @@
+#include "platform/storerecords.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+#include <sodium/utils.h>
+
+#include <random>
+
+namespace jasminequay::platform
+{
+
+namespace json = boost::json;
+
+/// Wraps a value into an item of the store.
+static json::value itemOf(const std::string &key, const std::string &value)
+{
+    std::string encoded(sodium_base64_ENCODED_LEN(value.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(encoded.data(), encoded.size(), reinterpret_cast<const unsigned char *>(value.data()),
+        value.size(), sodium_base64_VARIANT_ORIGINAL);
+    encoded.pop_back();
+    return json::object{{"key", key}, {"value", encoded}, {"rev", 7}, {"createRevision", 7}, {"lease", 1}};
+}
+
+/// What reading an item gave.
+struct Reading {
+    DirectoryUpdate update;
+    std::vector<std::string> bad;
+};
+
+static Reading read(const json::value &item)
+{
+    Reading reading;
+    addItem(item, reading.update, [&](std::string_view key, std::string_view reason) {
+        reading.bad.push_back(std::string(key) + ": " + std::string(reason));
+    });
+    return reading;
+}
+
+static const std::string GoodTarget = R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"dk-east-a",)"
+                                      R"("version":"v1","concurrency":2,"state":"ready","warmLeftMs":1500,)"
+                                      R"("seq":4,"born":1790000000123})";
+
+static const std::string GoodRoutes
+    = R"({"version":7,"routes":[{"name":"r-a","host":"198.18.0.1","prefix":"/8443/","type":"idempotent",)"
+      R"("timeoutMs":1500,"sloMs":150,"priority":2,"trafficSplit":[{"service":"s1","weight":90},)"
+      R"({"service":"s2","weight":10}],"attempts":2},{"name":"r-b","host":"198.18.0.2","prefix":"/80/",)"
+      R"("type":"non_idempotent","service":"s2"}],"services":[],"limits":{"idleTimeoutMs":15000}})";
+
+TEST(StoreRecords, ReadsATarget)
+{
+    const Reading reading = read(itemOf("servers/i-7f3a91c2", GoodTarget));
+    ASSERT_EQ(reading.update.targets.size(), 1U);
+    const TargetRecord &target = reading.update.targets.front();
+    EXPECT_EQ(target.name, "i-7f3a91c2");
+    EXPECT_EQ(target.identity, (TargetIdentity{0x7f3a91c2, 1790000000123}));
+    EXPECT_EQ(format(target.address), "10.128.0.9:8080");
+    EXPECT_EQ(target.service, "huvo11a");
+    EXPECT_EQ(target.dataCentre, "dk-east-a");
+    EXPECT_EQ(target.slots, 2U);
+    EXPECT_FALSE(target.isDraining);
+    EXPECT_EQ(target.warmUpLeft, std::chrono::milliseconds(1500));
+    EXPECT_EQ(target.revision, 7U);
+}
+
+TEST(StoreRecords, ReadsRoutes)
+{
+    const Reading reading = read(itemOf("op/config", GoodRoutes));
+    ASSERT_TRUE(reading.update.routes);
+    const RouteConfiguration &routes = *reading.update.routes;
+    EXPECT_EQ(routes.version, 7U);
+    EXPECT_EQ(routes.idleTimeout, std::chrono::seconds(15));
+    ASSERT_EQ(routes.routes.size(), 2U);
+    EXPECT_EQ(format(routes.routes[0].address), "198.18.0.1:8443");
+    EXPECT_EQ(routes.routes[0].kind, RequestKind::Idempotent);
+    EXPECT_EQ(routes.routes[0].timeout, std::chrono::milliseconds(1500));
+    ASSERT_EQ(routes.routes[0].services.size(), 2U);
+    EXPECT_EQ(routes.routes[0].services[0].weight, 90);
+    EXPECT_EQ(routes.routes[1].kind, RequestKind::NonIdempotent);
+    EXPECT_EQ(routes.routes[1].services[0].service, "s2");
+}
+
+TEST(StoreRecords, AnUnknownKindMustNotBeRepeated)
+{
+    std::string text = GoodRoutes;
+    text.replace(text.find("\"idempotent\""), 12, "\"something\"");
+    EXPECT_EQ(read(itemOf("op/config", text)).update.routes->routes[0].kind, RequestKind::NonIdempotent);
+}
+
+TEST(StoreRecords, ADeletedEntryIsARemoval)
+{
+    const Reading reading = read(json::object{{"key", "servers/i-1"}, {"rev", 9}, {"deleted", true}});
+    ASSERT_EQ(reading.update.removals.size(), 1U);
+    EXPECT_EQ(reading.update.removals[0].name, "i-1");
+    EXPECT_EQ(reading.update.removals[0].revision, 9U);
+}
+
+TEST(StoreRecords, KeysOfOthersAreLeftOutSilently)
+{
+    const Reading reading = read(itemOf("my/leader", "node-1"));
+    EXPECT_TRUE(reading.update.targets.empty());
+    EXPECT_TRUE(reading.bad.empty());
+}
+
+TEST(StoreRecords, BadEntriesNameNoTargetAndAreReported)
+{
+    const std::vector<std::pair<std::string, std::string>> faults{{"\"service\"", "\"servise\""},
+        {"\"huvo11a\"", "7"}, {"\"10.128.0.9:8080\"", "\"10.128.0.900:8080\""},
+        {"\"concurrency\":2", "\"x\":2"}, {"\"concurrency\":2", "\"concurrency\":\"two\""},
+        {"\"concurrency\":2", "\"concurrency\":-2"}, {"\"ready\"", "\"asleep\""}, {"\"ready\"", "null"},
+        {"1500", "\"soon\""}, {"1790000000123", "1.5"}, {"1790000000123", "\"x\""}, {"{", "["}};
+    for (const auto &[from, to] : faults) {
+        std::string text = GoodTarget;
+        text.replace(text.find(from), from.size(), to);
+        const Reading reading = read(itemOf("servers/i-7f3a91c2", text));
+        EXPECT_TRUE(reading.update.targets.empty()) << text;
+        EXPECT_EQ(reading.update.removals.size(), 1U) << text;
+        EXPECT_EQ(reading.bad.size(), 1U) << text;
+    }
+    EXPECT_TRUE(read(itemOf("servers/nothing", GoodTarget)).update.targets.empty());
+    json::value item = itemOf("servers/i-1", GoodTarget);
+    item.as_object()["value"] = "%%%";
+    EXPECT_TRUE(read(item).update.targets.empty());
+}
+
+TEST(StoreRecords, ABadRouteDoesNotHideTheOthers)
+{
+    std::string text = GoodRoutes;
+    text.replace(text.find("/8443/"), 6, "/none/");
+    const Reading reading = read(itemOf("op/config", text));
+    ASSERT_TRUE(reading.update.routes);
+    EXPECT_EQ(reading.update.routes->routes.size(), 1U);
+    EXPECT_EQ(reading.bad.size(), 1U);
+}
+
+TEST(StoreRecords, MutatedItemsNeverCrash)
+{
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 20000; ++round) {
+        const bool isRoutes = round % 2 == 0;
+        std::string text = isRoutes ? GoodRoutes : GoodTarget;
+        for (std::uint64_t change = 1 + random() % 4; change > 0; --change) {
+            text[random() % text.size()] = static_cast<char>(random());
+        }
+        text.resize(random() % 10 == 0 ? random() % text.size() : text.size());
+        const Reading reading = read(itemOf(isRoutes ? "op/config" : "servers/i-7f3a91c2", text));
+        for (const TargetRecord &target : reading.update.targets) {
+            EXPECT_NE(target.identity.id, 0U);
+        }
+    }
+    for (const char *const item : {"null", "7", "[]", "{}", R"({"key":1})", R"({"key":"op/config"})",
+             R"({"key":"op/config","rev":1})", R"({"key":"servers/i-1","rev":1,"value":7})"}) {
+        read(json::parse(item));
+    }
+}
+
+TEST(StoreRecords, TheNumberOfATargetIsItsHexadecimalDigits)
+{
+    EXPECT_EQ(targetNumber("i-7f3a91c2"), 0x7f3a91c2U);
+    EXPECT_EQ(targetNumber("i-ffffffffffffffff"), 0xffffffffffffffffU);
+    EXPECT_FALSE(targetNumber("i-"));
+    EXPECT_FALSE(targetNumber(""));
+    EXPECT_FALSE(targetNumber("i-xyz"));
+    EXPECT_FALSE(targetNumber("i-0"));
+    EXPECT_FALSE(targetNumber("i-1ffffffffffffffff"));
+}
+
+} // namespace jasminequay::platform
