--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -96,6 +96,7 @@
         return std::tie(left.isFailing, left.hash) < std::tie(right.isFailing, right.hash);
     });
     std::vector<std::string> order;
+    order.reserve(candidates.size());
     for (const Candidate &candidate : candidates) {
         order.push_back(candidate.name);
     }
--- a/lib/Record/burnreport.cpp
+++ b/lib/Record/burnreport.cpp
@@ -1,5 +1,7 @@
 #include "jasminequay/Record/burnreport.h"
 
+#include "xmltext.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -95,24 +97,6 @@
         + "\n";
 }
 
-static std::string escapeXml(std::string_view text)
-{
-    std::string escaped;
-    for (const char character : text) {
-        switch (character) {
-        case '&':
-            escaped += "&amp;";
-            break;
-        case '<':
-            escaped += "&lt;";
-            break;
-        default:
-            escaped += character;
-        }
-    }
-    return escaped;
-}
-
 std::string burnSvg(const std::vector<ServiceBurn> &burns, const RecordReader &reader)
 {
     constexpr int RowHeight = 18;
--- a/lib/Steering/routetable.cpp
+++ b/lib/Steering/routetable.cpp
@@ -39,6 +39,7 @@
     }
     std::sort(scored.begin(), scored.end(), std::greater<>());
     std::vector<const WeightedService *> order;
+    order.reserve(scored.size());
     for (const auto &[score, candidate] : scored) {
         order.push_back(candidate);
     }
--- a/lib/Support/linelog.cpp
+++ b/lib/Support/linelog.cpp
@@ -46,8 +46,10 @@
 {
     const auto bootMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
     ++m_sequence;
-    m_backlog += "time=" + formatWallTime(wallMilliseconds) + " boot_ms=" + std::to_string(bootMs)
-        + " line=" + std::to_string(m_sequence) + " level=" + std::string(level) + ' ' + pairs + '\n';
+    m_backlog.append("time=").append(formatWallTime(wallMilliseconds));
+    m_backlog.append(" boot_ms=").append(std::to_string(bootMs));
+    m_backlog.append(" line=").append(std::to_string(m_sequence));
+    m_backlog.append(" level=").append(level).append(" ").append(pairs).append("\n");
 }
 
 void LineLog::take(Severity severity, std::string_view event, const std::string &pairs, TimePoint now,
--- a/tools/jasminequay/checkcommand.cpp
+++ b/tools/jasminequay/checkcommand.cpp
@@ -1,5 +1,6 @@
 #include "commandline.h"
 #include "jasminequay/Settings/instancesettings.h"
+#include "jasminequay/Settings/steeringinstancesettings.h"
 #include "jasminequay/Settings/treeparser.h"
 
 #include <iostream>
@@ -22,6 +23,15 @@
 static Result<bool> checkInstance(const std::string &path)
 {
     BOOST_LEAF_AUTO(text, readFile(path));
+    if (isSteeringInstanceSettings(text)) {
+        const ParsedSteeringInstanceSettings steering = parseSteeringInstanceSettings(text);
+        if (printMistakes(steering.mistakes, path)) {
+            return false;
+        }
+        std::cout << path << ": instance " << steering.settings.instance
+                  << ", steers by token, no mistakes\n";
+        return true;
+    }
     const ParsedInstanceSettings parsed = parseInstanceSettings(text);
     if (printMistakes(parsed.mistakes, path)) {
         return false;
--- a/tools/jasminequay/explaincommand.cpp
+++ b/tools/jasminequay/explaincommand.cpp
@@ -1,4 +1,5 @@
 #include "commandline.h"
+#include "explainsteering.h"
 #include "jasminequay/Flow/flowname.h"
 #include "jasminequay/Placement/cataloguebuilder.h"
 #include "jasminequay/Placement/rendezvous.h"
@@ -103,20 +104,42 @@
     return ExitCode::Success;
 }
 
+static Result<ExitCode> explainSteeringFlow(const cxxopts::ParseResult &given, const FlowName &flow)
+{
+    const SteeredFlow steered{flow.caller, flow.service};
+    const auto token = given["token"].as<std::uint32_t>();
+    if (given.count("image") > 0) {
+        const std::string path = given["image"].as<std::string>();
+        BOOST_LEAF_AUTO(image, readFile(path));
+        return explainSteering(image, path, steered, token);
+    }
+    const std::string text = given["instance"].as<std::string>();
+    const std::optional<Endpoint> instance = parseEndpoint(text);
+    if (!instance) {
+        return usage("'" + text + "' is not an address with a port");
+    }
+    BOOST_LEAF_AUTO(image, fetchImage(*instance));
+    return explainSteering(image, text, steered, token);
+}
+
 ExitCode runExplain(int argumentCount, char **arguments)
 {
     cxxopts::Options options(
         "jasminequay explain", "Says which service, settings and targets a flow gets, and why");
     options.add_options()("tree", "the tree of services", cxxopts::value<std::string>())(
-        "flow", "SRC:PORT,DST:PORT,tcp|udp", cxxopts::value<std::vector<std::string>>());
+        "flow", "SRC:PORT,DST:PORT,tcp|udp", cxxopts::value<std::vector<std::string>>())("instance",
+        "the control address of a running instance that steers by token", cxxopts::value<std::string>())(
+        "image", "what such an instance knows, fetched from its /directory", cxxopts::value<std::string>())(
+        "token", "the token of a packet", cxxopts::value<std::uint32_t>()->default_value("0"));
     ExitCode exit = ExitCode::Success;
     const std::optional<cxxopts::ParseResult> given = parseOptions(options, argumentCount, arguments,
         "jasminequay explain --tree tree.yaml --flow 10.9.0.1:4000,10.1.0.1:443,tcp", exit);
     if (!given) {
         return exit;
     }
-    if (given->count("tree") == 0 || given->count("flow") == 0) {
-        return usage("explain needs --tree and --flow");
+    const bool isSteering = given->count("instance") + given->count("image") > 0;
+    if ((given->count("tree") == 0 && !isSteering) || given->count("flow") == 0) {
+        return usage("explain needs --tree, --instance or --image, and --flow");
     }
     // The option library splits values at commas.
     std::string text;
@@ -127,9 +150,12 @@
     if (!flow) {
         return usage("'" + text + "' is not a flow of the form SRC:PORT,DST:PORT,tcp|udp");
     }
-    const std::string path = (*given)["tree"].as<std::string>();
     return withFailure(
         [&]() -> Result<ExitCode> {
+            if (isSteering) {
+                return explainSteeringFlow(*given, *flow);
+            }
+            const std::string path = (*given)["tree"].as<std::string>();
             BOOST_LEAF_AUTO(content, readFile(path));
             const ParsedTree tree = parseTree(content);
             return printMistakes(tree.mistakes, path) ? ExitCode::Mistakes
