--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -106,8 +106,7 @@
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     void release(FlowState &state);
     [[nodiscard]] bool isCurrent(TimePoint now) const;
-    [[nodiscard]] bool mayBreakOff(
-        const SteeredFlow &flow, const FlowState *state, TargetVerdict verdict) const;
+    [[nodiscard]] bool mayBreakOff(const SteeredFlow &flow, const FlowState *state) const;
     [[nodiscard]] std::optional<SteeringCause> lossOf(
         const KnownTarget &target, const SteeredFlow &flow, const FlowState *state, TimePoint now) const;
 
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -377,8 +377,8 @@
     }
     for (const LossReport &loss : news.losses) {
         KnownTarget *const target = m_engine.targets().find(loss.targetKey);
-        const bool isRelevant = isMine(sender.dataCentre) || loss.verdict == TargetVerdict::Dead;
-        if (target != nullptr && isRelevant) {
+        // What another data centre cannot reach may be well here.
+        if (target != nullptr && isMine(sender.dataCentre)) {
             target->evidence.notePeerReport(now);
         }
     }
@@ -444,7 +444,7 @@
     FleetActions actions;
     FleetNews news = newsWith(ownEntry(), now);
     news.losses = losses;
-    addReceivers(actions, news, true);
+    addReceivers(actions, news, false);
     return actions;
 }
 
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -190,12 +190,10 @@
     return m_targets.withToken(packet.token);
 }
 
-/// What may run at most once is not broken off while its target may still be at work on it.
-bool SteeringEngine::mayBreakOff(const SteeredFlow &flow, const FlowState *state, TargetVerdict verdict) const
+/// What may run at most once is not broken off while its target may still be at work on it: a cut may refuse
+/// connections as a dead target does. Its caller could not repeat it anyway.
+bool SteeringEngine::mayBreakOff(const SteeredFlow &flow, const FlowState *state) const
 {
-    if (verdict == TargetVerdict::Dead) {
-        return true;
-    }
     const Route *const route = m_routes.at(flow.service);
     const bool mayRepeat = route != nullptr && route->kind != RequestKind::NonIdempotent;
     return mayRepeat || (state != nullptr && !state->isAwaited);
@@ -209,7 +207,7 @@
     }
     const TargetVerdict verdict = target.evidence.verdict(now);
     const bool isLost = verdict == TargetVerdict::Dead || verdict == TargetVerdict::Unreachable;
-    if (!isLost || !mayBreakOff(flow, state, verdict)) {
+    if (!isLost || !mayBreakOff(flow, state)) {
         return std::nullopt;
     }
     return verdict == TargetVerdict::Dead ? SteeringCause::TargetDead : SteeringCause::TargetUnreachable;
--- a/lib/Steering/targetevidence.cpp
+++ b/lib/Steering/targetevidence.cpp
@@ -94,7 +94,8 @@
 
 void TargetEvidence::noteProbe(Reachability outcome, TimePoint startedAt, TimePoint now)
 {
-    if (startedAt <= m_progressAt && outcome != Reachability::Connected) {
+    const bool isOutdated = startedAt <= m_progressAt && outcome != Reachability::Connected;
+    if (isOutdated || outcome == Reachability::Unknown) {
         return;
     }
     m_reachability = outcome;
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -209,6 +209,23 @@
         SteeringAction::Forward);
 }
 
+/// A cut that refuses connections looks like a dead target: seen in an incident (docs/incidents/1.md).
+TEST(SteeringEngine, AnAwaitedNonIdempotentRequestIsNotBrokenOffByARefusal)
+{
+    SteeredInstance instance(1, RequestKind::NonIdempotent);
+    const SteeringDecision placed = instance.open(1);
+    instance.take(dataOf(1, placed.token, 1001, 5000, 10));
+    instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(200));
+    instance.target(0).evidence.noteProbe(Reachability::Refused, instance.now, instance.now);
+    ASSERT_EQ(instance.target(0).evidence.verdict(instance.now), TargetVerdict::Dead);
+    EXPECT_TRUE(instance.engine.sweep(instance.now, 100).empty());
+    EXPECT_EQ(instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(400)).action,
+        SteeringAction::Forward);
+    // A newer start under the same id proves that the process is gone.
+    instance.engine.targets().put(targetOf(0, 5, 2), instance.now);
+    EXPECT_EQ(instance.engine.sweep(instance.now, 100).size(), 1U);
+}
+
 TEST(SteeringEngine, ATargetThatAnswersIsNeverGivenUp)
 {
     SteeredInstance instance(1);
