Ask a silent target who it is, and end it when another process answers

The old entries stayed, connections opened, and opening packets with the old ids were ignored: each cost its caller 200 ms, again and again. Change: a probe is a health request; the name in its answer, whatever the health it tells, ends a target that is not the one asked. Ruled out: not believing entries during an outage (most are right); a reset by address alone (an address is reused by design).

--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -4,6 +4,7 @@
 #include "jasminequay/Fleet/fleetcontrol.h"
 #include "jasminequay/Node/peerchannel.h"
 #include "jasminequay/Node/steeringpath.h"
+#include "jasminequay/Platform/reachabilityprobe.h"
 #include "jasminequay/Settings/steeringinstancesettings.h"
 
 #include <map>
@@ -25,9 +26,9 @@
 class SteeringControl
 {
 public:
-    /// `incarnation` grows with each start.
+    /// `targetNameHeader` is where targets tell their name; `incarnation` grows with each start.
     SteeringControl(boost::asio::io_context &context, const SteeringInstanceSettings &settings,
-        std::uint64_t incarnation, TimePoint now);
+        std::string targetNameHeader, std::uint64_t incarnation, TimePoint now);
 
     /// Opens the channel to the peers.
     Result<void> open();
@@ -93,10 +94,12 @@
     void startProbes(TimePoint now);
     void shareLosses(TimePoint now);
     void detectPause(TimePoint now);
-    boost::asio::awaitable<void> probe(std::uint64_t key, Endpoint address);
+    boost::asio::awaitable<void> probe(std::uint64_t key, Endpoint address, ProbeQuestion question);
+    void noteProbe(KnownTarget &target, const TargetProbe &found, TimePoint startedAt, TimePoint now);
 
     boost::asio::io_context &m_context;
     SteeringInstanceSettings m_settings;
+    std::string m_targetNameHeader;
     SteeringEngine m_engine;
     FleetControl m_fleet;
     PeerChannel m_peers;
--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -28,7 +28,7 @@
     SteeringNode(const SteeringInstanceSettings &settings, SettingsWatch watch, std::uint64_t incarnation)
         : m_settings(settings)
         , m_watch(std::move(watch))
-        , m_control(m_context, settings, incarnation, bootTime())
+        , m_control(m_context, settings, std::string(Attachment::TargetNameHeader), incarnation, bootTime())
         , m_path(m_context, m_control.engine(),
               {[this]() { return m_control.maySteer(bootTime()); },
                   [this](const PacketSummary &packet, const SteeringDecision &decision, TimePoint now) {
--- a/include/jasminequay/Node/steeringpath.h
+++ b/include/jasminequay/Node/steeringpath.h
@@ -40,6 +40,9 @@
     {
         Attachment::Headroom
         } -> std::convertible_to<std::size_t>;
+    {
+        Attachment::TargetNameHeader
+        } -> std::convertible_to<std::string_view>;
 };
 
 /// Counters of the packet path.
--- a/include/jasminequay/Platform/httpexchange.h
+++ b/include/jasminequay/Platform/httpexchange.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -18,6 +19,9 @@
 struct HttpAnswer {
     unsigned status = 0;
     std::string body;
+    std::map<std::string, std::string> headers; ///< By name in lower case.
+    bool isConnected = false; ///< Whether the server took the connection.
+    bool isRefused = false; ///< Whether the server's machine refused it, or reset it before an answer.
     std::optional<Failure> failure;
 };
 
--- a/include/jasminequay/Steering/route.h
+++ b/include/jasminequay/Steering/route.h
@@ -5,6 +5,7 @@
 #include "jasminequay/Support/timepoint.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,7 @@
     std::uint64_t version = 0; ///< Grows with each change; zero before the first.
     Duration idleTimeout{}; ///< How long a silent flow is kept; zero where it is not known.
     std::vector<Route> routes;
+    std::map<std::string, std::string> healthPaths; ///< Where the targets of a service tell their health.
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -61,6 +61,9 @@
     /// Takes a target that a peer remembers as ended, unless it is known here.
     void addTombstone(const TargetRecord &record, TimePoint now);
 
+    /// Notes that another process answers at the address of a target: it has ended.
+    void noteReplaced(std::uint64_t key, TimePoint now);
+
     /// Ends the grace of missing entries and forgets targets that ended long ago. `forget` is called with the
     /// key of each that is forgotten.
     void expire(TimePoint now, const std::function<void(std::uint64_t)> &forget);
--- a/include/jasminequay/Support/failure.h
+++ b/include/jasminequay/Support/failure.h
@@ -25,6 +25,7 @@
     DecodePeer,
     ReadPlatform,
     WatchPlatform,
+    ProbeTarget,
     OpenRecords,
     ReadRecords,
     ServeOperators,
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -1,7 +1,6 @@
 #include "jasminequay/Node/steeringcontrol.h"
 
 #include "jasminequay/Peer/fleetcodec.h"
-#include "jasminequay/Platform/reachabilityprobe.h"
 #include "jasminequay/Support/bootclock.h"
 #include "jasminequay/Support/logevent.h"
 
@@ -53,9 +52,10 @@
 }
 
 SteeringControl::SteeringControl(boost::asio::io_context &context, const SteeringInstanceSettings &settings,
-    std::uint64_t incarnation, TimePoint now)
+    std::string targetNameHeader, std::uint64_t incarnation, TimePoint now)
     : m_context(context)
     , m_settings(settings)
+    , m_targetNameHeader(std::move(targetNameHeader))
     , m_engine(engineSettings(settings))
     , m_fleet(fleetSettings(settings, incarnation), m_engine, now)
     , m_peers(context,
@@ -215,26 +215,41 @@
             continue;
         }
         target.evidence.noteProbeStarted(now);
-        boost::asio::co_spawn(m_context, probe(key, target.record.address), boost::asio::detached);
+        ProbeQuestion question{"/", m_targetNameHeader};
+        const auto &paths = m_engine.routes().configuration().healthPaths;
+        if (const auto path = paths.find(target.record.service); path != paths.end()) {
+            question.path = path->second;
+        }
+        boost::asio::co_spawn(
+            m_context, probe(key, target.record.address, std::move(question)), boost::asio::detached);
     }
 }
 
-boost::asio::awaitable<void> SteeringControl::probe(std::uint64_t key, Endpoint address)
+boost::asio::awaitable<void> SteeringControl::probe(
+    std::uint64_t key, Endpoint address, ProbeQuestion question)
 {
     const TimePoint startedAt = bootTime();
-    const Reachability outcome = co_await probeReachability(address);
-    ++m_probes[outcome];
-    KnownTarget *const target = m_engine.targets().find(key);
-    if (target == nullptr) {
-        co_return;
+    const TargetProbe found = co_await probeTarget(address, std::move(question));
+    ++m_probes[found.reachability];
+    if (KnownTarget *const target = m_engine.targets().find(key)) {
+        noteProbe(*target, found, startedAt, bootTime());
+    }
+}
+
+void SteeringControl::noteProbe(
+    KnownTarget &target, const TargetProbe &found, TimePoint startedAt, TimePoint now)
+{
+    target.evidence.noteProbe(found.reachability, startedAt, now);
+    const bool isReplaced = !found.name.empty() && found.name != target.record.name;
+    LogEvent(Severity::Info, isReplaced ? "target-replaced" : "target-probed")
+        .with("target", target.record.name)
+        .with("outcome", reachabilityName(found.reachability))
+        .with("answered_by", found.name)
+        .with("verdict", targetVerdictName(target.evidence.verdict(now)))
+        .with("stalled_flows", target.evidence.stalledFlows());
+    if (isReplaced) {
+        m_engine.targets().noteReplaced(target.key, now);
     }
-    const TimePoint now = bootTime();
-    target->evidence.noteProbe(outcome, startedAt, now);
-    LogEvent(Severity::Info, "target-probed")
-        .with("target", target->record.name)
-        .with("outcome", reachabilityName(outcome))
-        .with("verdict", targetVerdictName(target->evidence.verdict(now)))
-        .with("stalled_flows", target->evidence.stalledFlows());
 }
 
 void SteeringControl::shareLosses(TimePoint now)
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -92,6 +92,7 @@
 {
     wire.set_version(configuration.version);
     wire.set_idle_timeout_ms(milliseconds(configuration.idleTimeout));
+    wire.mutable_health_paths()->insert(configuration.healthPaths.begin(), configuration.healthPaths.end());
     for (const Route &route : configuration.routes) {
         wire::WireRoute &body = *wire.add_routes();
         body.set_name(route.name);
@@ -111,6 +112,7 @@
     RouteConfiguration configuration;
     configuration.version = wire.version();
     configuration.idleTimeout = std::chrono::milliseconds(wire.idle_timeout_ms());
+    configuration.healthPaths.insert(wire.health_paths().begin(), wire.health_paths().end());
     for (const wire::WireRoute &body : wire.routes()) {
         if (body.kind() > static_cast<std::uint32_t>(RequestKind::Download)) {
             return std::nullopt;
--- a/lib/Platform/httpexchange.cpp
+++ b/lib/Platform/httpexchange.cpp
@@ -1,5 +1,6 @@
 #include "jasminequay/Platform/httpexchange.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -20,8 +21,9 @@
 {
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     const asio::ip::tcp::endpoint address(asio::ip::address_v4(server.address.value), server.port);
+    HttpAnswer answer;
     const auto failed = [&](const beast::error_code &error) {
-        HttpAnswer answer;
+        answer.isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
         answer.failure = Failure{step, format(server) + path, error.message()};
         return answer;
     };
@@ -29,6 +31,7 @@
     if (const auto [error] = co_await stream.async_connect(address, Awaited); error) {
         co_return failed(error);
     }
+    answer.isConnected = true;
     http::request<http::empty_body> request(http::verb::get, path, 11);
     request.set(http::field::host, format(server));
     request.keep_alive(false);
@@ -41,7 +44,9 @@
     if (const auto [error, size] = co_await http::async_read(stream, buffer, parser, Awaited); error) {
         co_return failed(error);
     }
-    HttpAnswer answer;
+    for (const auto &field : parser.get()) {
+        answer.headers[boost::algorithm::to_lower_copy(std::string(field.name_string()))] = field.value();
+    }
     answer.status = parser.get().result_int();
     answer.body = std::move(parser.get().body());
     co_return answer;
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -49,6 +49,11 @@
     }
     const auto [position, isNew] = m_targets.try_emplace(key);
     KnownTarget &target = position->second;
+    const bool isEnded = target.presence == TargetPresence::Gone && record.revision <= target.record.revision;
+    if (!isNew && isEnded) {
+        // What ended it is known here and not yet published.
+        return;
+    }
     const bool wasDraining = target.record.isDraining;
     target.record = record;
     target.key = key;
@@ -129,6 +134,13 @@
     }
 }
 
+void TargetDirectory::noteReplaced(std::uint64_t key, TimePoint now)
+{
+    if (KnownTarget *const target = find(key)) {
+        end(*target, now);
+    }
+}
+
 void TargetDirectory::addTombstone(const TargetRecord &record, TimePoint now)
 {
     const std::uint64_t key = record.identity.key();
--- a/lib/Support/failure.cpp
+++ b/lib/Support/failure.cpp
@@ -8,7 +8,7 @@
 namespace jasminequay
 {
 
-static constexpr EnumNames<Step, 13> StepNames{{
+static constexpr EnumNames<Step, 14> StepNames{{
     {Step::ReadSettings, "read-settings"},
     {Step::ParseTree, "parse-tree"},
     {Step::OpenFabric, "open-fabric"},
@@ -19,6 +19,7 @@
     {Step::DecodePeer, "decode-peer"},
     {Step::ReadPlatform, "read-platform"},
     {Step::WatchPlatform, "watch-platform"},
+    {Step::ProbeTarget, "probe-target"},
     {Step::OpenRecords, "open-records"},
     {Step::ReadRecords, "read-records"},
     {Step::ServeOperators, "serve-operators"},
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -106,7 +106,8 @@
     image.update.revision = 99;
     image.update.isComplete = true;
     image.update.routes = RouteConfiguration{7, std::chrono::seconds(15),
-        {{"r", {{1}, 443}, RequestKind::Download, std::chrono::seconds(5), {{"desk", 90}, {"guides", 10}}}}};
+        {{"r", {{1}, 443}, RequestKind::Download, std::chrono::seconds(5), {{"desk", 90}, {"guides", 10}}}},
+        {{"desk", "/healthz"}}};
     for (std::uint32_t number = 0; number < 150; ++number) {
         image.update.targets.push_back(sampleTarget(number));
     }
@@ -120,6 +121,7 @@
     EXPECT_EQ(back->update.routes->routes[0].kind, RequestKind::Download);
     EXPECT_EQ(back->update.routes->routes[0].services[1].weight, 10);
     EXPECT_EQ(back->update.tombstones[0].name, "i-500");
+    EXPECT_EQ(back->update.routes->healthPaths.at("desk"), "/healthz");
     EXPECT_EQ(back->update.removals[0].name, "i-3");
     std::mt19937_64 random(20261204);
     for (int round = 0; round < 10000; ++round) {
--- a/unittests/Steering/directorytest.cpp
+++ b/unittests/Steering/directorytest.cpp
@@ -78,6 +78,20 @@
     EXPECT_EQ(presenceOf(directory, other), TargetPresence::Listed);
 }
 
+/// Endpoints that restart under new ids while the store is away: seen in an incident (docs/incidents/3.md).
+TEST(TargetDirectory, AnAddressAtWhichAnotherProcessAnswersEndsTheTarget)
+{
+    TargetDirectory directory;
+    directory.put(targetOf(0, 5), Start);
+    directory.noteReplaced(targetOf(0).identity.key(), Start);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Gone);
+    // A peer that does not know it yet, or a complete read of the same age, does not bring it back.
+    directory.put(targetOf(0, 5), Start);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Gone);
+    directory.put(targetOf(0, 6), Start);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Listed);
+}
+
 TEST(TargetDirectory, EndedTargetsAreRememberedForTheLifeOfAFlow)
 {
     TargetDirectory directory;
@@ -112,9 +126,9 @@
     RouteTable routes;
     EXPECT_TRUE(routes.adopt(routesOf(7)));
     EXPECT_FALSE(routes.adopt(routesOf(7)));
-    EXPECT_FALSE(routes.adopt(RouteConfiguration{3, {}, {}}));
+    EXPECT_FALSE(routes.adopt(RouteConfiguration{3, {}, {}, {}}));
     EXPECT_NE(routes.at(Service), nullptr);
-    EXPECT_TRUE(routes.adopt(RouteConfiguration{8, {}, {}}));
+    EXPECT_TRUE(routes.adopt(RouteConfiguration{8, {}, {}, {}}));
     EXPECT_EQ(routes.at(Service), nullptr);
 }
 
--- a/unittests/UsersPlatform/storerecordstest.cpp
+++ b/unittests/UsersPlatform/storerecordstest.cpp
@@ -44,7 +44,7 @@
     = R"({"version":7,"routes":[{"name":"r-a","host":"198.18.0.1","prefix":"/8443/","type":"idempotent",)"
       R"("timeoutMs":1500,"sloMs":150,"priority":2,"trafficSplit":[{"service":"s1","weight":90},)"
       R"({"service":"s2","weight":10}],"attempts":2},{"name":"r-b","host":"198.18.0.2","prefix":"/80/",)"
-      R"("type":"non_idempotent","service":"s2"}],"services":[],"limits":{"idleTimeoutMs":15000}})";
+      R"("type":"non_idempotent","service":"s2"}],"services":[{"name":"s1","healthPath":"/healthz"},7],"limits":{"idleTimeoutMs":15000}})";
 
 TEST(StoreRecords, ReadsATarget)
 {
@@ -70,6 +70,7 @@
     EXPECT_EQ(routes.version, 7U);
     EXPECT_EQ(routes.idleTimeout, std::chrono::seconds(15));
     ASSERT_EQ(routes.routes.size(), 2U);
+    EXPECT_EQ(routes.healthPaths.at("s1"), "/healthz");
     EXPECT_EQ(format(routes.routes[0].address), "198.18.0.1:8443");
     EXPECT_EQ(routes.routes[0].kind, RequestKind::Idempotent);
     EXPECT_EQ(routes.routes[0].timeout, std::chrono::milliseconds(1500));
