--- a/include/jasminequay/Node/metricspage.h
+++ b/include/jasminequay/Node/metricspage.h
@@ -18,7 +18,7 @@
     std::uint64_t records = 0;
 };
 
-/// Prints all metrics; docs/operations.md names each.
+/// Prints all metrics; docs/OPERATIONS.md names each.
 std::string metricsPage(
     const InstanceControl &control, const TrafficCounters &traffic, const ControlCounters &counters);
 
--- a/include/jasminequay/Node/steeringmetrics.h
+++ b/include/jasminequay/Node/steeringmetrics.h
@@ -9,6 +9,7 @@
 {
 
 /// Prints all metrics; docs/OPERATIONS.md names each.
-std::string steeringMetricsPage(SteeringControl &control, const PathCounters &path, TimePoint now);
+std::string steeringMetricsPage(
+    SteeringControl &control, const PathCounters &path, std::uint64_t logLinesLeftOut, TimePoint now);
 
 } // namespace jasminequay
--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -7,6 +7,7 @@
 #include "jasminequay/Node/steeringmetrics.h"
 #include "jasminequay/Node/steeringpath.h"
 #include "jasminequay/Platform/operatorserver.h"
+#include "jasminequay/Support/linelog.h"
 #include "jasminequay/Support/logevent.h"
 #include "jasminequay/Support/timerservice.h"
 
@@ -25,8 +26,10 @@
 {
 public:
     /// `incarnation` grows with each start of the instance.
-    SteeringNode(const SteeringInstanceSettings &settings, SettingsWatch watch, std::uint64_t incarnation)
+    SteeringNode(const SteeringInstanceSettings &settings, SettingsWatch watch, const LineLog &log,
+        std::uint64_t incarnation)
         : m_settings(settings)
+        , m_log(log)
         , m_watch(std::move(watch))
         , m_control(m_context, settings, std::string(Attachment::TargetNameHeader), incarnation, bootTime())
         , m_path(m_context, m_control.engine(),
@@ -94,7 +97,7 @@
                                  : OperatorPage{200, std::move(image)};
         }
         if (path == "/metrics") {
-            return {200, steeringMetricsPage(m_control, m_path.counters(), bootTime())};
+            return {200, steeringMetricsPage(m_control, m_path.counters(), m_log.leftOut(), bootTime())};
         }
         return {404, "pages: /metrics\n"};
     }
@@ -157,6 +160,7 @@
     }
 
     SteeringInstanceSettings m_settings;
+    const LineLog &m_log;
     SettingsWatch m_watch;
     boost::asio::io_context m_context{1};
     SteeringControl m_control;
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -97,7 +97,8 @@
     page.counter("peer_fetches_failed_total", "Fetches that failed.", peers.failedFetches);
 }
 
-std::string steeringMetricsPage(SteeringControl &control, const PathCounters &path, TimePoint now)
+std::string steeringMetricsPage(
+    SteeringControl &control, const PathCounters &path, std::uint64_t logLinesLeftOut, TimePoint now)
 {
     PageBuilder page;
     addPath(page, path);
@@ -105,6 +106,7 @@
     addTargets(page, control, now);
     addKnowledge(page, control, now);
     addCounters(page, control);
+    page.counter("log_lines_left_out_total", "Log lines that were left out.", logLinesLeftOut);
     return page.text();
 }
 
--- a/tools/jasminequay/commands.h
+++ b/tools/jasminequay/commands.h
@@ -4,7 +4,7 @@
 namespace jasminequay
 {
 
-/// Exit codes of every subcommand, as docs/operations.md lists them.
+/// Exit codes of every subcommand, as docs/OPERATIONS.md lists them.
 enum class ExitCode : int {
     Success = 0,
     Mistakes = 1, ///< The input has mistakes.
--- a/tools/jasminequay/steercommand.cpp
+++ b/tools/jasminequay/steercommand.cpp
@@ -38,7 +38,7 @@
         log.flush(now, wallMilliseconds());
     });
     SteeringNode<platform::Attachment> node(
-        parsed.settings, SettingsWatch(path, text), static_cast<std::uint64_t>(wallMilliseconds()));
+        parsed.settings, SettingsWatch(path, text), log, static_cast<std::uint64_t>(wallMilliseconds()));
     BOOST_LEAF_CHECK(node.run());
     setLogSink({});
     return ExitCode::Success;
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -9,6 +9,7 @@
 constexpr Duration NetworkDelay = milliseconds(2);
 constexpr Duration FetchTime = milliseconds(8);
 constexpr Duration FetchTimeout = milliseconds(400);
+constexpr Duration SweepInterval = milliseconds(50);
 constexpr std::size_t Seeds = 3;
 
 Endpoint FakeCluster::addressOf(std::size_t number)
@@ -176,7 +177,10 @@
     perform(number, member.control->tick(now));
     stepFetch(number);
     stepRead(number);
-    member.engine->sweep(now, 100);
+    if (now - member.sweptAt >= SweepInterval) {
+        member.sweptAt = now;
+        member.engine->sweep(now, 100);
+    }
     checkVersion(number);
 }
 
--- a/unittests/Fleet/fakecluster.h
+++ b/unittests/Fleet/fakecluster.h
@@ -32,6 +32,7 @@
     std::uint64_t newestVersion = 0; ///< In its present life.
     TimePoint versionSince; ///< When the version in force was first seen.
     TimePoint loadedAt;
+    TimePoint sweptAt;
 
     struct Read {
         StoreReadRequest request;
--- a/unittests/Node/nodetest.cpp
+++ b/unittests/Node/nodetest.cpp
@@ -121,7 +121,7 @@
     const TimePoint now(std::chrono::seconds(100));
     const InstanceControl control(settings, 1, now, 1);
     std::istringstream page(metricsPage(control, {}, {}));
-    std::ifstream file(std::string(JASMINEQUAY_SOURCE) + "/docs/operations.md");
+    std::ifstream file(std::string(JASMINEQUAY_SOURCE) + "/docs/OPERATIONS.md");
     const std::string document{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     std::string line;
     while (std::getline(page, line)) {
