--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -59,7 +59,7 @@
         calls.push_back(cluster.store.calls - before);
     }
     // A waiting read for each data centre, renewed each 0.9 s.
-    EXPECT_LE(calls[1], calls[0] * 12 / 10);
+    EXPECT_LE(calls[1], calls[0] * 11 / 10);
     EXPECT_LE(calls[1], 3U * 6U);
 }
 
