Hand on what changed since a revision, encode once, pace reads, and relay what other data centres know

A test then showed a data centre late by a whole wait: its reader had learnt a version from another data centre's reader, had nothing left to read, and told nobody. Change: fetches carry a revision and bring what changed since; messages carry 40 changes (10) and are encoded once; reads keep a thirtieth of the bound between them; whoever reads, or is one of the first two, hands on at once what came from another data centre.

--- a/benchmarks/steeringbenchmark.cpp
+++ b/benchmarks/steeringbenchmark.cpp
@@ -126,7 +126,7 @@
     settings.control = {{1}, 8166};
     settings.dataCentre = "dc-0";
     FleetControl control(settings, engine, Start);
-    control.onImage({directoryOf(150), {}}, Start);
+    control.onImage({directoryOf(150), 0, {}}, Start);
     const auto newsOf = [](std::uint32_t number, std::uint64_t heartbeat) {
         FleetNews news;
         DigestEntry entry;
@@ -164,33 +164,32 @@
     settings.control = {{1}, 8166};
     settings.dataCentre = "dc-0";
     FleetControl control(settings, engine, Start);
-    control.onImage({directoryOf(150), {}}, Start);
-    for (std::uint32_t number = 0; number < state.range(0); ++number) {
-        FleetNews news;
-        DigestEntry entry;
-        entry.control = {{number + 2}, 8166};
-        entry.instance = format(entry.control);
-        entry.dataCentre = "dc-" + std::to_string(number % 6);
-        entry.incarnation = 1;
-        entry.heartbeat = 1;
-        news.sender = entry.instance;
-        news.digest.entries.push_back(entry);
-        control.onNews(news, Start);
-    }
-    TimePoint now = Start;
+    control.onImage({directoryOf(150), 0, {}}, Start);
+    TimePoint now = Start + std::chrono::seconds(10);
+    std::uint64_t heartbeat = 0;
     std::size_t bytes = 0;
-    std::size_t beats = 0;
     for (auto _ : state) {
-        now += std::chrono::milliseconds(1000);
+        state.PauseTiming();
+        ++heartbeat;
+        now += std::chrono::seconds(1);
+        for (std::uint32_t number = 0; number < state.range(0); ++number) {
+            FleetNews news;
+            DigestEntry entry;
+            entry.control = {{number + 2}, 8166};
+            entry.instance = format(entry.control);
+            entry.dataCentre = "dc-" + std::to_string(number % 6);
+            entry.incarnation = 1;
+            entry.heartbeat = heartbeat;
+            news.sender = entry.instance;
+            news.digest.entries.push_back(entry);
+            control.onNews(news, now);
+        }
+        state.ResumeTiming();
         for (const OutgoingNews &outgoing : control.tick(now).news) {
             bytes += encodeNews(outgoing.news).size();
         }
-        ++beats;
-        if (beats % 3 == 0) {
-            now = Start + std::chrono::seconds(5);
-        }
     }
-    state.counters["bytes/beat"] = static_cast<double>(bytes) / static_cast<double>(beats);
+    state.counters["bytes/beat"] = static_cast<double>(bytes) / static_cast<double>(heartbeat);
 }
 BENCHMARK(beatFleet)->Arg(9)->Arg(74)->Arg(499)->Iterations(200);
 
--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -27,16 +27,23 @@
     std::uint64_t randomSeed = 1;
 };
 
-/// A message with its receiver.
+/// A message with its receivers.
 struct OutgoingNews {
-    Endpoint to; ///< The receiver's control address.
+    std::vector<Endpoint> to; ///< Their control addresses.
     FleetNews news;
 };
 
+/// A fetch of what a peer knows.
+struct FetchRequest {
+    Endpoint from; ///< The peer's control address.
+    std::uint64_t after = 0; ///< Only what changed since this revision; zero for all.
+    std::uint64_t routesVersion = 0; ///< Routes of this version need not be sent.
+};
+
 /// What is to be done after an event.
 struct FleetActions {
     std::vector<OutgoingNews> news;
-    std::optional<Endpoint> fetchFrom; ///< A peer from which everything is to be fetched.
+    std::optional<FetchRequest> fetch;
 };
 
 /// The next read of the store.
@@ -70,8 +77,8 @@
     /// Takes the outcome of a read that began at `startedAt`.
     FleetActions onStoreAnswer(const StoreAnswer &answer, TimePoint startedAt, TimePoint now);
 
-    /// Returns everything that is known, for a peer.
-    [[nodiscard]] DirectoryImage image(TimePoint now);
+    /// Returns what a peer lacks that has a revision and a version of the routes; everything for zero.
+    [[nodiscard]] DirectoryImage image(std::uint64_t after, std::uint64_t routesVersion, TimePoint now);
 
     /// Takes what a peer knows.
     FleetActions onImage(const DirectoryImage &image, TimePoint now);
@@ -110,6 +117,15 @@
     }
 
 private:
+    /// How far the knowledge of the directory has come.
+    struct Progress {
+        std::uint64_t revision;
+        std::uint64_t routesVersion;
+        TimePoint currentAt;
+    };
+
+    [[nodiscard]] Progress progress() const;
+    void relay(const Progress &before, FleetActions &actions, TimePoint now);
     [[nodiscard]] ReaderView readerView() const;
     [[nodiscard]] KnowledgeStanding standing(TimePoint now) const;
     [[nodiscard]] FleetNews newsWith(Digest digest, TimePoint now) const;
@@ -118,7 +134,7 @@
     [[nodiscard]] std::vector<std::string> computeReaderOrder(const std::string &dataCentre) const;
     FleetActions wrap(const std::vector<OutgoingDigest> &digests, TimePoint now) const;
     FleetActions tellReaders(TimePoint now, bool withOtherDataCentres) const;
-    void addReceivers(FleetActions &actions, const FleetNews &news, bool withOtherDataCentres) const;
+    [[nodiscard]] std::vector<Endpoint> receivers(bool withOtherDataCentres) const;
     void takeStanding(const FleetNews &news, FleetActions &actions, TimePoint now);
     void apply(const DirectoryUpdate &update, TimePoint now);
     [[nodiscard]] DirectoryChanges changesOf(const DirectoryUpdate &update) const;
@@ -144,8 +160,10 @@
     TimePoint m_otherReaderAt;
     TimePoint m_relayedAt;
     TimePoint m_beatAt;
+    TimePoint m_readAt; ///< When the store last answered.
     TimePoint m_fetchingSince; ///< The start of time if nothing is being fetched.
     TimePoint m_fetchFailedAt;
+    bool m_isFetchingElsewhere = false; ///< Whether the peer is of another data centre.
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Fleet/fleetnews.h
+++ b/include/jasminequay/Fleet/fleetnews.h
@@ -44,9 +44,10 @@
     std::vector<LossReport> losses;
 };
 
-/// Everything that an instance knows, for a peer that starts or fell behind.
+/// What an instance knows, or what changed there since a revision, for a peer that starts or fell behind.
 struct DirectoryImage {
     DirectoryUpdate update;
+    std::uint64_t after = 0; ///< The revision since which changes are told; zero where all is.
     Duration age{}; ///< How long ago it was proved to be complete.
 };
 
--- a/include/jasminequay/Fleet/readerplan.h
+++ b/include/jasminequay/Fleet/readerplan.h
@@ -13,6 +13,8 @@
 struct ReaderTiming {
     /// How long a waiting read waits: so short that a silent one leaves time for another inside the bound.
     Duration wait;
+    /// The shortest time between two reads, so that changes in quick succession come together.
+    Duration pace;
     /// How long an answer may take beyond that.
     Duration timeout;
     /// How old the word of the reader may become before another instance reads.
--- a/include/jasminequay/Node/peerchannel.h
+++ b/include/jasminequay/Node/peerchannel.h
@@ -1,7 +1,7 @@
 // The messages between instances that steer by token: datagrams, and fetches over HTTP.
 #pragma once
 
-#include "jasminequay/Fleet/fleetnews.h"
+#include "jasminequay/Fleet/fleetcontrol.h"
 #include "jasminequay/Support/failure.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -41,23 +41,29 @@
     /// Opens the socket at the address of the instance. All instances use the same port.
     Result<void> open(Endpoint address);
 
-    /// Sends a message to the instance with a control address.
-    void send(Endpoint control, const FleetNews &news);
+    /// Sends a message to its receivers.
+    void send(const OutgoingNews &outgoing);
 
-    /// Fetches everything that a peer knows.
-    void fetch(Endpoint control);
+    /// Fetches what a peer knows.
+    void fetch(const FetchRequest &request);
 
     [[nodiscard]] const PeerCounters &counters() const
     {
         return m_counters;
     }
 
-    /// The path at which peers fetch what an instance knows.
+    /// The path at which peers fetch what an instance knows; a query tells what they have.
     static constexpr std::string_view ImagePath = "/directory";
 
+    /// Returns the path of a fetch.
+    static std::string fetchPath(const FetchRequest &request);
+
+    /// Reads the path of a fetch; nothing for another path.
+    static std::optional<FetchRequest> parseFetchPath(std::string_view path);
+
 private:
     boost::asio::awaitable<void> receive();
-    boost::asio::awaitable<void> runFetch(Endpoint control);
+    boost::asio::awaitable<void> runFetch(FetchRequest request);
     void take(std::size_t size, Ipv4Address sender);
 
     boost::asio::io_context &m_context;
--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -62,7 +62,7 @@
     [[nodiscard]] bool maySteer(TimePoint now) const;
 
     /// Returns what peers fetch.
-    [[nodiscard]] std::string image(TimePoint now);
+    [[nodiscard]] std::string image(const FetchRequest &request, TimePoint now);
 
     [[nodiscard]] SteeringEngine &engine()
     {
--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -91,8 +91,8 @@
 
     OperatorPage controlPage(const std::string &path)
     {
-        if (path == PeerChannel::ImagePath) {
-            std::string image = m_control.image(bootTime());
+        if (const std::optional<FetchRequest> request = PeerChannel::parseFetchPath(path)) {
+            std::string image = m_control.image(*request, bootTime());
             return image.empty() ? OperatorPage{503, "nothing is known yet\n"}
                                  : OperatorPage{200, std::move(image)};
         }
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -1,6 +1,7 @@
 // The targets that an instance knows: those that are published, and those that are gone but may have flows.
 #pragma once
 
+#include "jasminequay/Steering/directoryupdate.h"
 #include "jasminequay/Steering/targetevidence.h"
 #include "jasminequay/Steering/targetrecord.h"
 
@@ -91,6 +92,9 @@
         return m_targets;
     }
 
+    /// Returns the removals of entries since a revision.
+    [[nodiscard]] std::vector<TargetRemoval> removalsAfter(std::uint64_t revision) const;
+
     /// Returns the number of targets that are published now.
     [[nodiscard]] std::size_t listedCount() const;
 
--- a/lib/Fleet/changehistory.cpp
+++ b/lib/Fleet/changehistory.cpp
@@ -3,9 +3,9 @@
 namespace jasminequay
 {
 
-/// Entries that are handed on at once: about a hundred bytes each, so that a message stays below the size of
-/// a packet on an Ethernet link.
-constexpr std::size_t MaximumEntries = 10;
+/// Entries that are handed on at once: about a hundred bytes each, so that a message takes three packets on
+/// an Ethernet link at the most. Whoever lacks more fetches it.
+constexpr std::size_t MaximumEntries = 40;
 
 static std::size_t entriesOf(const DirectoryChanges &changes)
 {
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -3,6 +3,7 @@
 #include "jasminequay/Placement/instanceorder.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jasminequay
 {
@@ -128,7 +129,8 @@
 StoreReadRequest FleetControl::nextRead(TimePoint now) const
 {
     StoreReadRequest request;
-    request.isWanted = m_plan.wantsRead(readerView(), now);
+    const bool isPaced = !m_needsAll && now - m_readAt < m_plan.timing().pace;
+    request.isWanted = !isPaced && m_plan.wantsRead(readerView(), now);
     request.isComplete = m_needsAll;
     request.mayBeStale = !m_isLoaded && !m_hasLostHistory;
     request.after = m_revision;
@@ -171,7 +173,7 @@
     for (const OutgoingDigest &outgoing : digests) {
         const auto member = m_members.members().find(outgoing.to);
         if (member != m_members.members().end()) {
-            actions.news.push_back({member->second.peerControl, newsWith(outgoing.digest, now)});
+            actions.news.push_back({{member->second.peerControl}, newsWith(outgoing.digest, now)});
         }
     }
     return actions;
@@ -193,41 +195,39 @@
     return wrap(m_members.tick(now), now);
 }
 
-/// Adds all members of the own data centre and, where wanted, the first readers of the others.
-void FleetControl::addReceivers(FleetActions &actions, const FleetNews &news, bool withOtherDataCentres) const
+/// Returns all members of the own data centre and, where wanted, the first readers of the others.
+std::vector<Endpoint> FleetControl::receivers(bool withOtherDataCentres) const
 {
-    std::vector<std::string> otherDataCentres;
+    std::vector<Endpoint> found;
+    std::set<std::string> otherDataCentres;
     for (const auto &[name, member] : m_members.members()) {
         if (!member.hasBeenHeard || member.health == MemberHealth::Dead) {
             continue;
         }
         if (isMine(member.known.dataCentre)) {
-            actions.news.push_back({member.peerControl, news});
-            continue;
-        }
-        const auto known
-            = std::find(otherDataCentres.begin(), otherDataCentres.end(), member.known.dataCentre);
-        if (known == otherDataCentres.end()) {
-            otherDataCentres.push_back(member.known.dataCentre);
+            found.push_back(member.peerControl);
+        } else {
+            otherDataCentres.insert(member.known.dataCentre);
         }
     }
     if (!withOtherDataCentres) {
-        return;
+        return found;
     }
     for (const std::string &dataCentre : otherDataCentres) {
         const std::vector<std::string> &readers = readerOrder(dataCentre);
         for (std::size_t rank = 0; rank < std::min(readers.size(), ReadersTold); ++rank) {
-            actions.news.push_back({m_members.members().at(readers[rank]).peerControl, news});
+            found.push_back(m_members.members().at(readers[rank]).peerControl);
         }
     }
+    return found;
 }
 
 FleetActions FleetControl::tellReaders(TimePoint now, bool withOtherDataCentres) const
 {
-    FleetActions actions;
     FleetNews news = newsWith(ownEntry(), now);
     news.changes = m_history.all();
-    addReceivers(actions, news, withOtherDataCentres);
+    FleetActions actions;
+    actions.news.push_back({receivers(withOtherDataCentres), std::move(news)});
     return actions;
 }
 
@@ -300,6 +300,8 @@
             = !answer.update.isComplete && answer.update.targets.empty() && answer.update.removals.empty();
         m_needsAll = false;
         m_hasLostHistory = false;
+        // A stale read is followed at once by what changed since.
+        m_readAt = answer.isStale ? TimePoint{} : now;
         apply(answer.update, now);
         m_plan.noteSuccess(now);
         m_members.setPlatformFailing(false);
@@ -335,7 +337,9 @@
         return;
     }
     m_fetchingSince = now;
-    actions.fetchFrom = found->second.peerControl;
+    m_isFetchingElsewhere = !isMine(found->second.known.dataCentre);
+    actions.fetch = FetchRequest{
+        found->second.peerControl, m_isLoaded ? m_revision : 0, m_engine.routes().configuration().version};
 }
 
 void FleetControl::takeStanding(const FleetNews &news, FleetActions &actions, TimePoint now)
@@ -385,38 +389,55 @@
     if (!news.standing.isLoaded) {
         return actions;
     }
-    const TimePoint currentBefore = m_engine.currentAt();
-    const std::uint64_t revisionBefore = m_revision;
+    const Progress before = progress();
     takeStanding(news, actions, now);
-    // A reader hands on what it hears from other data centres, in case its own reads fail.
-    const bool isNewer = m_revision > revisionBefore || m_engine.currentAt() - currentBefore > RelayInterval;
-    const bool isReaderElsewhere = news.standing.isReading && !isMine(sender.dataCentre);
-    if (isReaderElsewhere && isNewer && now - m_relayedAt >= RelayInterval && !m_plan.isReading()) {
-        m_relayedAt = now;
-        FleetActions relayed = tellReaders(now, false);
-        std::move(relayed.news.begin(), relayed.news.end(), std::back_inserter(actions.news));
+    if (!isMine(sender.dataCentre)) {
+        relay(before, actions, now);
     }
     return actions;
 }
 
-DirectoryImage FleetControl::image(TimePoint now)
+FleetControl::Progress FleetControl::progress() const
+{
+    return {m_revision, m_engine.routes().configuration().version, m_engine.currentAt()};
+}
+
+/// Hands on in the own data centre what came from another one: its reader may have nothing to read any more,
+/// or nobody there may be served by the store.
+void FleetControl::relay(const Progress &before, FleetActions &actions, TimePoint now)
+{
+    const Progress after = progress();
+    const bool isChanged = after.revision > before.revision || after.routesVersion > before.routesVersion;
+    const bool isFresher = !m_plan.isReading() && after.currentAt - before.currentAt > RelayInterval
+        && now - m_relayedAt >= RelayInterval;
+    const bool isTeller = m_plan.isReading() || readerView().rank < ReadersTold;
+    if (!isTeller || (!isChanged && !isFresher)) {
+        return;
+    }
+    m_relayedAt = now;
+    FleetActions relayed = tellReaders(now, false);
+    std::move(relayed.news.begin(), relayed.news.end(), std::back_inserter(actions.news));
+}
+
+DirectoryImage FleetControl::image(std::uint64_t after, std::uint64_t routesVersion, TimePoint now)
 {
     DirectoryImage image;
+    image.after = after;
     image.age = now - m_engine.currentAt();
     image.update.revision = m_revision;
-    image.update.isComplete = true;
-    image.update.routes = m_engine.routes().configuration();
+    image.update.isComplete = after == 0;
+    if (after == 0 || routesVersion < m_engine.routes().configuration().version) {
+        image.update.routes = m_engine.routes().configuration();
+    }
+    image.update.removals = m_engine.targets().removalsAfter(after);
     for (const auto &[key, target] : m_engine.targets().targets()) {
+        if (target.record.revision <= after) {
+            continue;
+        }
         TargetRecord record = target.record;
         record.warmUpLeft = std::max<Duration>(target.warmAt - now, Duration::zero());
-        if (target.presence == TargetPresence::Gone) {
-            image.update.tombstones.push_back(std::move(record));
-        } else if (target.presence == TargetPresence::Listed) {
-            image.update.targets.push_back(std::move(record));
-        } else {
-            image.update.targets.push_back(record);
-            image.update.removals.push_back({record.name, m_revision});
-        }
+        const bool isGone = target.presence == TargetPresence::Gone;
+        (isGone ? image.update.tombstones : image.update.targets).push_back(std::move(record));
     }
     return image;
 }
@@ -424,13 +445,20 @@
 FleetActions FleetControl::onImage(const DirectoryImage &image, TimePoint now)
 {
     m_fetchingSince = TimePoint{};
-    if (image.update.revision < m_revision || !image.update.routes) {
+    const bool isUseful = image.update.revision >= m_revision && image.after <= m_revision
+        && (image.update.routes || m_isLoaded);
+    if (!isUseful) {
         return {};
     }
+    const Progress before = progress();
     apply(image.update, now);
     m_needsAll = false;
     m_engine.noteCurrent(now - image.age);
-    return {};
+    FleetActions actions;
+    if (m_isFetchingElsewhere) {
+        relay(before, actions, now);
+    }
+    return actions;
 }
 
 void FleetControl::onFetchFailed(TimePoint now)
@@ -441,10 +469,10 @@
 
 FleetActions FleetControl::reportLosses(const std::vector<LossReport> &losses, TimePoint now)
 {
-    FleetActions actions;
     FleetNews news = newsWith(ownEntry(), now);
     news.losses = losses;
-    addReceivers(actions, news, false);
+    FleetActions actions;
+    actions.news.push_back({receivers(false), std::move(news)});
     return actions;
 }
 
@@ -463,7 +491,7 @@
     m_members.setPhase(MemberPhase::Leaving);
     m_plan.yield();
     FleetActions actions;
-    addReceivers(actions, newsWith(ownEntry(), now), false);
+    actions.news.push_back({receivers(false), newsWith(ownEntry(), now)});
     return actions;
 }
 
--- a/lib/Fleet/readerplan.cpp
+++ b/lib/Fleet/readerplan.cpp
@@ -18,6 +18,9 @@
 /// bound, after a second of silence and the timeout of the silent read.
 constexpr double WaitShare = 0.3;
 
+/// A reader makes at most this many reads while a change may take force.
+constexpr int ReadsInABound = 30;
+
 constexpr Duration TakeoverStagger = milliseconds(150);
 
 /// Later places in the order do not wait longer than this one.
@@ -44,6 +47,7 @@
     ReaderTiming timing;
     const auto share = std::chrono::duration_cast<Duration>(settingsBound * WaitShare);
     timing.wait = std::clamp<Duration>(share, ShortestWait, LongestWait);
+    timing.pace = settingsBound / ReadsInABound;
     timing.timeout = AnswerTimeout;
     timing.takeover = timing.wait + timing.wait / 4;
     timing.stagger = TakeoverStagger;
--- a/lib/Node/peerchannel.cpp
+++ b/lib/Node/peerchannel.cpp
@@ -3,6 +3,7 @@
 #include "jasminequay/Peer/fleetcodec.h"
 #include "jasminequay/Platform/httpexchange.h"
 #include "jasminequay/Support/logevent.h"
+#include "jasminequay/Support/units.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -45,19 +46,48 @@
     return {};
 }
 
-void PeerChannel::send(Endpoint control, const FleetNews &news)
+void PeerChannel::send(const OutgoingNews &outgoing)
 {
-    const std::string bytes = encodeNews(news);
-    const asio::ip::udp::endpoint to(asio::ip::address_v4(control.address.value), m_port);
-    boost::system::error_code error;
-    m_socket.send_to(asio::buffer(bytes), to, 0, error);
-    if (error) {
-        // The next message replaces this one; a full buffer or a refused datagram needs no more than a count.
-        ++m_counters.unsent;
-        return;
+    const std::string bytes = encodeNews(outgoing.news);
+    for (const Endpoint control : outgoing.to) {
+        const asio::ip::udp::endpoint to(asio::ip::address_v4(control.address.value), m_port);
+        boost::system::error_code error;
+        m_socket.send_to(asio::buffer(bytes), to, 0, error);
+        if (error) {
+            // The next message replaces this one; a full buffer or a refused datagram needs no more than a
+            // count.
+            ++m_counters.unsent;
+            continue;
+        }
+        ++m_counters.sent;
+        m_counters.sentBytes += bytes.size();
+    }
+}
+
+std::string PeerChannel::fetchPath(const FetchRequest &request)
+{
+    return std::string(ImagePath) + "?after=" + std::to_string(request.after)
+        + "&routes=" + std::to_string(request.routesVersion);
+}
+
+std::optional<FetchRequest> PeerChannel::parseFetchPath(std::string_view path)
+{
+    if (path == ImagePath) {
+        return FetchRequest{};
+    }
+    constexpr std::string_view After = "?after=";
+    constexpr std::string_view Routes = "&routes=";
+    const std::size_t routes = path.find(Routes);
+    if (!path.starts_with(std::string(ImagePath).append(After)) || routes == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::size_t after = ImagePath.size() + After.size();
+    const std::optional<std::uint64_t> revision = parseNumber(path.substr(after, routes - after));
+    const std::optional<std::uint64_t> version = parseNumber(path.substr(routes + Routes.size()));
+    if (!revision || !version) {
+        return std::nullopt;
     }
-    ++m_counters.sent;
-    m_counters.sentBytes += bytes.size();
+    return FetchRequest{{}, *revision, *version};
 }
 
 asio::awaitable<void> PeerChannel::receive()
@@ -92,15 +122,16 @@
         });
 }
 
-void PeerChannel::fetch(Endpoint control)
+void PeerChannel::fetch(const FetchRequest &request)
 {
-    asio::co_spawn(m_context, runFetch(control), asio::detached);
+    asio::co_spawn(m_context, runFetch(request), asio::detached);
 }
 
-asio::awaitable<void> PeerChannel::runFetch(Endpoint control)
+asio::awaitable<void> PeerChannel::runFetch(FetchRequest request)
 {
     ++m_counters.fetches;
-    const std::string path(ImagePath);
+    const Endpoint control = request.from;
+    const std::string path = fetchPath(request);
     const HttpAnswer answer
         = co_await httpGet(control, path, {FetchTimeout, LargestFetch}, Step::ConnectPeer);
     const bool isTaken = withFailure(
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -107,10 +107,10 @@
 void SteeringControl::perform(const FleetActions &actions)
 {
     for (const OutgoingNews &outgoing : actions.news) {
-        m_peers.send(outgoing.to, outgoing.news);
+        m_peers.send(outgoing);
     }
-    if (actions.fetchFrom) {
-        m_peers.fetch(*actions.fetchFrom);
+    if (actions.fetch) {
+        m_peers.fetch(*actions.fetch);
     }
     noteChanges(bootTime());
 }
@@ -299,9 +299,12 @@
     perform(m_fleet.beginLeave(now));
 }
 
-std::string SteeringControl::image(TimePoint now)
+std::string SteeringControl::image(const FetchRequest &request, TimePoint now)
 {
-    return m_fleet.isLoaded() ? encodeImage(m_fleet.image(now)) : std::string();
+    if (!m_fleet.isLoaded()) {
+        return {};
+    }
+    return encodeImage(m_fleet.image(request.after, request.routesVersion, now));
 }
 
 } // namespace jasminequay
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -204,6 +204,7 @@
     wire::WireImage wire;
     wire.set_revision(image.update.revision);
     wire.set_age_us(microseconds(image.age));
+    wire.set_after(image.after);
     if (image.update.routes) {
         toWire(*image.update.routes, *wire.mutable_routes());
     }
@@ -240,7 +241,8 @@
     DirectoryImage image;
     image.age = duration(wire.age_us());
     image.update.revision = wire.revision();
-    image.update.isComplete = true;
+    image.after = wire.after();
+    image.update.isComplete = wire.after() == 0;
     if (wire.has_routes()) {
         image.update.routes = fromWire(wire.routes());
         if (!image.update.routes) {
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -8,6 +8,9 @@
 namespace jasminequay
 {
 
+/// Removals of entries that never named a target are remembered up to this number.
+constexpr std::size_t MaximumRemovals = 10000;
+
 static constexpr EnumNames<TargetPresence, 3> TargetPresenceNames{{
     {TargetPresence::Listed, "listed"},
     {TargetPresence::Lapsed, "lapsed"},
@@ -101,10 +104,13 @@
 
 void TargetDirectory::remove(const std::string &name, std::uint64_t revision, TimePoint now)
 {
-    std::uint64_t &removal = m_removals[name];
-    removal = std::max(removal, revision);
     const auto named = m_byName.find(name);
     KnownTarget *const target = named == m_byName.end() ? nullptr : find(named->second);
+    if (target == nullptr && m_removals.size() >= MaximumRemovals) {
+        return;
+    }
+    std::uint64_t &removal = m_removals[name];
+    removal = std::max(removal, revision);
     if (target == nullptr || target->record.revision > revision
         || target->presence != TargetPresence::Listed) {
         return;
@@ -244,6 +250,17 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+std::vector<TargetRemoval> TargetDirectory::removalsAfter(std::uint64_t revision) const
+{
+    std::vector<TargetRemoval> removals;
+    for (const auto &[name, removal] : m_removals) {
+        if (removal > revision) {
+            removals.push_back({name, removal});
+        }
+    }
+    return removals;
+}
+
 std::size_t TargetDirectory::listedCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -263,7 +263,10 @@
             member.control->onFetchFailed(now);
             return;
         }
-        perform(number, member.control->onImage(members[fetch.from].control->image(now), now));
+        const DirectoryImage image
+            = members[fetch.from].control->image(fetch.request.after, fetch.request.routesVersion, now);
+        fetchedTargets += image.update.targets.size();
+        perform(number, member.control->onImage(image, now));
     } else if (now >= fetch.failsAt) {
         member.fetch.reset();
         member.control->onFetchFailed(now);
@@ -273,15 +276,17 @@
 void FakeCluster::perform(std::size_t number, const FleetActions &actions)
 {
     for (const OutgoingNews &outgoing : actions.news) {
-        const std::size_t to = numberOf(outgoing.to);
-        ++messages;
-        if (!m_cuts.contains({number, to})) {
-            m_messages.push_back({now + NetworkDelay, to, outgoing.news});
+        for (const Endpoint address : outgoing.to) {
+            const std::size_t to = numberOf(address);
+            ++messages;
+            if (!m_cuts.contains({number, to})) {
+                m_messages.push_back({now + NetworkDelay, to, outgoing.news});
+            }
         }
     }
-    if (actions.fetchFrom) {
-        members[number].fetch
-            = FakeMember::Fetch{numberOf(*actions.fetchFrom), now + FetchTime, now + FetchTimeout};
+    if (actions.fetch) {
+        const std::size_t from = numberOf(actions.fetch->from);
+        members[number].fetch = FakeMember::Fetch{from, *actions.fetch, now + FetchTime, now + FetchTimeout};
     }
 }
 
--- a/unittests/Fleet/fakecluster.h
+++ b/unittests/Fleet/fakecluster.h
@@ -43,6 +43,7 @@
 
     struct Fetch {
         std::size_t from = 0;
+        FetchRequest request;
         TimePoint doneAt;
         TimePoint failsAt;
     };
@@ -98,6 +99,7 @@
     std::vector<FakeMember> members;
     TimePoint now = TimePoint(std::chrono::hours(1));
     std::uint64_t messages = 0;
+    std::uint64_t fetchedTargets = 0; ///< Entries that peers handed over on request.
     std::uint64_t regressions = 0; ///< Versions that went back within the life of an instance.
 
 private:
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -298,6 +298,30 @@
     EXPECT_EQ(cluster.regressions, 0U);
 }
 
+/// A release of many targets in a large service: seen in the sweep to 300 instances.
+TEST(Fleet, ABurstOfChangesIsHandedOnWithoutFetchingWhatIsKnown)
+{
+    FakeCluster cluster({75, 5, 400});
+    cluster.run(seconds(6));
+    const std::uint64_t fetchedBefore = cluster.fetchedTargets;
+    const std::uint64_t callsBefore = cluster.store.calls;
+    std::vector<TargetRecord> records = cluster.store.readAll().update.targets;
+    for (std::size_t number = 0; number < 200; ++number) {
+        records[number].isDraining = true;
+        cluster.store.put(records[number]);
+        cluster.run(milliseconds(10));
+    }
+    EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isKnownLeaving(records[199]); }, seconds(1)));
+    cluster.run(seconds(1));
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.control->revision(), cluster.store.revision());
+    }
+    // Complete lists would be 400 entries a member and burst.
+    EXPECT_LT(cluster.fetchedTargets - fetchedBefore, 75U * 200U);
+    // Two seconds of changes at a read each 100 ms, in five data centres, and the calm second.
+    EXPECT_LE(cluster.store.calls - callsBefore, 5U * 35U);
+}
+
 TEST(Fleet, CallsStayRareThroughAnOutage)
 {
     FakeCluster cluster({75, 5});
