--- a/benchmarks/steeringbenchmark.cpp
+++ b/benchmarks/steeringbenchmark.cpp
@@ -138,6 +138,7 @@
         entry.phase = MemberPhase::Ready;
         news.sender = entry.instance;
         news.digest.entries.push_back(entry);
+        news.digest.peerControl = entry.control;
         news.standing = {true, 151, 1, {}, true};
         return news;
     };
@@ -182,6 +183,7 @@
             entry.heartbeat = heartbeat;
             news.sender = entry.instance;
             news.digest.entries.push_back(entry);
+            news.digest.peerControl = entry.control;
             control.onNews(news, now);
         }
         state.ResumeTiming();
