--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -58,6 +58,10 @@
     Duration timeout{}; ///< How long an answer may take beyond that.
 };
 
+/// The first readers of a data centre: those of the others hear of changes, so that each goes on when its own
+/// reads fail.
+constexpr std::size_t ReadersTold = 2;
+
 /// Keeps an engine informed. What a peer tells is what the store has told it: revisions order all, and
 /// versions never go back.
 class FleetControl
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -1,9 +1,6 @@
 #include "jasminequay/Fleet/fleetcontrol.h"
 
-#include "jasminequay/Placement/instanceorder.h"
-
 #include <algorithm>
-#include <set>
 
 namespace jasminequay
 {
@@ -20,9 +17,6 @@
 constexpr Duration NewcomerInterval = milliseconds(250);
 constexpr Duration NewcomerTime = std::chrono::seconds(4);
 
-/// The readers of each other data centre that hear of changes, so that it goes on when its own reads fail.
-constexpr std::size_t ReadersTold = 2;
-
 /// How often an instance that hears of another data centre's reads hands them on in its own.
 constexpr Duration RelayInterval = milliseconds(300);
 
@@ -69,63 +63,6 @@
     }
 }
 
-/// Returns the instances of a data centre in the order in which they should read the store. Those that the
-/// store failed come last.
-std::vector<std::string> FleetControl::computeReaderOrder(const std::string &dataCentre) const
-{
-    struct Candidate {
-        bool isFailing;
-        std::uint64_t hash;
-        std::string name;
-    };
-    std::vector<Candidate> candidates;
-    const auto add = [&](const DigestEntry &entry) {
-        const std::uint64_t hash = hashWords(hashText("store-reader"), hashText(entry.instance));
-        candidates.push_back({entry.isPlatformFailing, hash, entry.instance});
-    };
-    if (isMine(dataCentre)) {
-        add(m_members.self());
-    }
-    for (const auto &[name, member] : m_members.members()) {
-        const bool isCandidate = member.hasBeenHeard && member.health != MemberHealth::Dead
-            && member.known.phase != MemberPhase::Leaving && member.known.dataCentre == dataCentre;
-        if (isCandidate) {
-            add(member.known);
-        }
-    }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tie(left.isFailing, left.hash) < std::tie(right.isFailing, right.hash);
-    });
-    std::vector<std::string> order;
-    order.reserve(candidates.size());
-    for (const Candidate &candidate : candidates) {
-        order.push_back(candidate.name);
-    }
-    return order;
-}
-
-const std::vector<std::string> &FleetControl::readerOrder(const std::string &dataCentre) const
-{
-    const auto [position, isNew] = m_readerOrders.try_emplace(dataCentre);
-    if (isNew) {
-        position->second = computeReaderOrder(dataCentre);
-    }
-    return position->second;
-}
-
-ReaderView FleetControl::readerView() const
-{
-    const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
-    ReaderView view;
-    view.rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), m_name) - order.begin());
-    view.members = order.size();
-    view.fleet = m_members.members().size() + 1;
-    view.isLoaded = m_isLoaded;
-    view.currentAt = m_engine.currentAt();
-    view.otherReaderAt = m_otherReaderAt;
-    return view;
-}
-
 StoreReadRequest FleetControl::nextRead(TimePoint now) const
 {
     StoreReadRequest request;
@@ -195,33 +132,6 @@
     return wrap(m_members.tick(now), now);
 }
 
-/// Returns all members of the own data centre and, where wanted, the first readers of the others.
-std::vector<Endpoint> FleetControl::receivers(bool withOtherDataCentres) const
-{
-    std::vector<Endpoint> found;
-    std::set<std::string> otherDataCentres;
-    for (const auto &[name, member] : m_members.members()) {
-        if (!member.hasBeenHeard || member.health == MemberHealth::Dead) {
-            continue;
-        }
-        if (isMine(member.known.dataCentre)) {
-            found.push_back(member.peerControl);
-        } else {
-            otherDataCentres.insert(member.known.dataCentre);
-        }
-    }
-    if (!withOtherDataCentres) {
-        return found;
-    }
-    for (const std::string &dataCentre : otherDataCentres) {
-        const std::vector<std::string> &readers = readerOrder(dataCentre);
-        for (std::size_t rank = 0; rank < std::min(readers.size(), ReadersTold); ++rank) {
-            found.push_back(m_members.members().at(readers[rank]).peerControl);
-        }
-    }
-    return found;
-}
-
 FleetActions FleetControl::tellReaders(TimePoint now, bool withOtherDataCentres) const
 {
     FleetNews news = newsWith(ownEntry(), now);
@@ -231,40 +141,6 @@
     return actions;
 }
 
-/// Returns what an update changes here, so that peers need not fetch everything after a complete read.
-DirectoryChanges FleetControl::changesOf(const DirectoryUpdate &update) const
-{
-    DirectoryChanges changes;
-    changes.after = m_revision;
-    changes.revision = std::max(m_revision, update.revision);
-    changes.removals = update.removals;
-    if (!update.isComplete) {
-        changes.targets = update.targets;
-        return changes;
-    }
-    std::map<std::string, const TargetRecord *> listed;
-    for (const TargetRecord &record : update.targets) {
-        listed[record.name] = &record;
-    }
-    std::map<std::string, std::uint64_t> known;
-    for (const auto &[key, target] : m_engine.targets().targets()) {
-        if (target.presence != TargetPresence::Listed) {
-            continue;
-        }
-        known[target.record.name] = target.record.revision;
-        if (!listed.contains(target.record.name)) {
-            changes.removals.push_back({target.record.name, update.revision});
-        }
-    }
-    for (const auto &[name, record] : listed) {
-        const auto before = known.find(name);
-        if (before == known.end() || before->second < record->revision) {
-            changes.targets.push_back(*record);
-        }
-    }
-    return changes;
-}
-
 void FleetControl::apply(const DirectoryUpdate &update, TimePoint now)
 {
     m_history.add(changesOf(update));
@@ -419,54 +295,6 @@
     std::move(relayed.news.begin(), relayed.news.end(), std::back_inserter(actions.news));
 }
 
-DirectoryImage FleetControl::image(std::uint64_t after, std::uint64_t routesVersion, TimePoint now)
-{
-    DirectoryImage image;
-    image.after = after;
-    image.age = now - m_engine.currentAt();
-    image.update.revision = m_revision;
-    image.update.isComplete = after == 0;
-    if (after == 0 || routesVersion < m_engine.routes().configuration().version) {
-        image.update.routes = m_engine.routes().configuration();
-    }
-    image.update.removals = m_engine.targets().removalsAfter(after);
-    for (const auto &[key, target] : m_engine.targets().targets()) {
-        if (target.record.revision <= after) {
-            continue;
-        }
-        TargetRecord record = target.record;
-        record.warmUpLeft = std::max<Duration>(target.warmAt - now, Duration::zero());
-        const bool isGone = target.presence == TargetPresence::Gone;
-        (isGone ? image.update.tombstones : image.update.targets).push_back(std::move(record));
-    }
-    return image;
-}
-
-FleetActions FleetControl::onImage(const DirectoryImage &image, TimePoint now)
-{
-    m_fetchingSince = TimePoint{};
-    const bool isUseful = image.update.revision >= m_revision && image.after <= m_revision
-        && (image.update.routes || m_isLoaded);
-    if (!isUseful) {
-        return {};
-    }
-    const Progress before = progress();
-    apply(image.update, now);
-    m_needsAll = false;
-    m_engine.noteCurrent(now - image.age);
-    FleetActions actions;
-    if (m_isFetchingElsewhere) {
-        relay(before, actions, now);
-    }
-    return actions;
-}
-
-void FleetControl::onFetchFailed(TimePoint now)
-{
-    m_fetchingSince = TimePoint{};
-    m_fetchFailedAt = now;
-}
-
 FleetActions FleetControl::reportLosses(const std::vector<LossReport> &losses, TimePoint now)
 {
     FleetNews news = newsWith(ownEntry(), now);
--- /dev/null
+++ b/lib/Fleet/fleetreaders.cpp
@@ -0,0 +1,94 @@
+#include "jasminequay/Fleet/fleetcontrol.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace jasminequay
+{
+
+/// Returns the instances of a data centre in the order in which they should read the store. Those that the
+/// store failed come last.
+std::vector<std::string> FleetControl::computeReaderOrder(const std::string &dataCentre) const
+{
+    struct Candidate {
+        bool isFailing;
+        std::uint64_t hash;
+        std::string name;
+    };
+    std::vector<Candidate> candidates;
+    const auto add = [&](const DigestEntry &entry) {
+        const std::uint64_t hash = hashWords(hashText("store-reader"), hashText(entry.instance));
+        candidates.push_back({entry.isPlatformFailing, hash, entry.instance});
+    };
+    if (isMine(dataCentre)) {
+        add(m_members.self());
+    }
+    for (const auto &[name, member] : m_members.members()) {
+        const bool isCandidate = member.hasBeenHeard && member.health != MemberHealth::Dead
+            && member.known.phase != MemberPhase::Leaving && member.known.dataCentre == dataCentre;
+        if (isCandidate) {
+            add(member.known);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tie(left.isFailing, left.hash) < std::tie(right.isFailing, right.hash);
+    });
+    std::vector<std::string> order;
+    order.reserve(candidates.size());
+    for (const Candidate &candidate : candidates) {
+        order.push_back(candidate.name);
+    }
+    return order;
+}
+
+const std::vector<std::string> &FleetControl::readerOrder(const std::string &dataCentre) const
+{
+    const auto [position, isNew] = m_readerOrders.try_emplace(dataCentre);
+    if (isNew) {
+        position->second = computeReaderOrder(dataCentre);
+    }
+    return position->second;
+}
+
+ReaderView FleetControl::readerView() const
+{
+    const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
+    ReaderView view;
+    view.rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), m_name) - order.begin());
+    view.members = order.size();
+    view.fleet = m_members.members().size() + 1;
+    view.isLoaded = m_isLoaded;
+    view.currentAt = m_engine.currentAt();
+    view.otherReaderAt = m_otherReaderAt;
+    return view;
+}
+
+/// Returns all members of the own data centre and, where wanted, the first readers of the others.
+std::vector<Endpoint> FleetControl::receivers(bool withOtherDataCentres) const
+{
+    std::vector<Endpoint> found;
+    std::set<std::string> otherDataCentres;
+    for (const auto &[name, member] : m_members.members()) {
+        if (!member.hasBeenHeard || member.health == MemberHealth::Dead) {
+            continue;
+        }
+        if (isMine(member.known.dataCentre)) {
+            found.push_back(member.peerControl);
+        } else {
+            otherDataCentres.insert(member.known.dataCentre);
+        }
+    }
+    if (!withOtherDataCentres) {
+        return found;
+    }
+    for (const std::string &dataCentre : otherDataCentres) {
+        const std::vector<std::string> &readers = readerOrder(dataCentre);
+        for (std::size_t rank = 0; rank < std::min(readers.size(), ReadersTold); ++rank) {
+            found.push_back(m_members.members().at(readers[rank]).peerControl);
+        }
+    }
+    return found;
+}
+
+} // namespace jasminequay
--- a/lib/Support/linelog.cpp
+++ b/lib/Support/linelog.cpp
@@ -82,8 +82,9 @@
     m_summarizedAt = now;
     for (auto &[event, kind] : m_kinds) {
         if (kind.leftOut > 0) {
-            const std::string count = std::to_string(std::exchange(kind.leftOut, 0));
-            append("info", "event=lines-left-out of=" + event + " count=" + count, now, wallMilliseconds);
+            std::string pairs = "event=lines-left-out of=" + event;
+            pairs.append(" count=").append(std::to_string(std::exchange(kind.leftOut, 0)));
+            append("info", pairs, now, wallMilliseconds);
         }
     }
     write();
