--- a/tools/jasminequay/explainsteering.cpp
+++ b/tools/jasminequay/explainsteering.cpp
@@ -26,7 +26,7 @@
     const std::string path(PeerChannel::ImagePath);
     boost::asio::co_spawn(context,
         httpGet(instance, path, {FetchTimeout, LargestImageSize}, Step::ConnectPeer),
-        [&answer](std::exception_ptr failure, HttpAnswer result) {
+        [&answer](const std::exception_ptr &failure, HttpAnswer result) {
             if (failure == nullptr) {
                 answer = std::move(result);
             }
--- a/unittests/Platform/reachabilityprobetest.cpp
+++ b/unittests/Platform/reachabilityprobetest.cpp
@@ -47,7 +47,7 @@
 {
     std::optional<TargetProbe> found;
     asio::co_spawn(context, probeTarget(address, {"/healthz", "x-name"}),
-        [&](std::exception_ptr, TargetProbe probe) { found = std::move(probe); });
+        [&](const std::exception_ptr &, TargetProbe probe) { found = std::move(probe); });
     while (!found) {
         context.run_one_for(std::chrono::seconds(20));
     }
--- a/unittests/Steering/evidencetest.cpp
+++ b/unittests/Steering/evidencetest.cpp
@@ -10,9 +10,9 @@
 
 static constexpr TimePoint Start = TimePoint(std::chrono::hours(1));
 
-static TimePoint at(int milliseconds_)
+static TimePoint at(int offset)
 {
-    return Start + milliseconds(milliseconds_);
+    return Start + milliseconds(offset);
 }
 
 /// A target that answered at the start and was not heard of since.
--- a/unittests/UsersPlatform/steeringnodetest.cpp
+++ b/unittests/UsersPlatform/steeringnodetest.cpp
@@ -107,7 +107,7 @@
     {
         std::optional<HttpAnswer> answer;
         asio::co_spawn(context, httpGet(local(port), path, {seconds(5), 1 << 20}, Step::ConnectPeer),
-            [&](std::exception_ptr, HttpAnswer got) { answer = std::move(got); });
+            [&](const std::exception_ptr &, HttpAnswer got) { answer = std::move(got); });
         runUntil([&]() { return answer.has_value(); });
         return answer.value_or(HttpAnswer{});
     }
--- a/unittests/UsersPlatform/storeclienttest.cpp
+++ b/unittests/UsersPlatform/storeclienttest.cpp
@@ -42,7 +42,7 @@
     {
         StoreAnswer result;
         bool isDone = false;
-        asio::co_spawn(context, std::move(call), [&](std::exception_ptr failure, StoreAnswer answer) {
+        asio::co_spawn(context, std::move(call), [&](const std::exception_ptr &failure, StoreAnswer answer) {
             EXPECT_EQ(failure, nullptr);
             result = std::move(answer);
             isDone = true;
