Release the flow that a full memory drops

Before: AFullMemoryReleasesTheFlowsItDrops counted 12,288 flows for a table of 4,096. After: 4,096. Also removed: SteeringEngine::noteDataCentre, which nobody called. Conclusion: the table hands what it drops to its owner.

--- a/include/jasminequay/Steering/flowmemory.h
+++ b/include/jasminequay/Steering/flowmemory.h
@@ -66,8 +66,20 @@
     /// Returns a flow; null if it is not remembered.
     FlowState *find(const SteeredFlow &flow);
 
-    /// Returns a flow, a new one if it was not remembered. Where the table is full, another one is dropped.
-    FlowState &at(const SteeredFlow &flow);
+    /// Returns a flow, a new one if it was not remembered. Where the table is full, another one is dropped
+    /// and handed to `release` first.
+    template <typename Release> FlowState &at(const SteeredFlow &flow, Release release)
+    {
+        if (FlowState *const known = find(flow)) {
+            return *known;
+        }
+        if (m_flows.size() >= m_capacity) {
+            const auto dropped = m_flows.begin();
+            release(dropped->second);
+            m_flows.erase(dropped);
+        }
+        return m_flows[flow];
+    }
 
     /// Drops a flow.
     void erase(const SteeredFlow &flow);
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -72,9 +72,6 @@
         return m_currentAt;
     }
 
-    /// Notes whether the instances of another data centre can be heard.
-    void noteDataCentre(const std::string &name, bool isHeard, TimePoint now);
-
     [[nodiscard]] RouteTable &routes()
     {
         return m_routes;
@@ -104,6 +101,7 @@
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void learnFrom(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
+    FlowState &remember(const SteeredFlow &flow);
     void release(FlowState &state);
     [[nodiscard]] bool isCurrent(TimePoint now) const;
     [[nodiscard]] bool mayBreakOff(const SteeredFlow &flow, const FlowState *state) const;
--- a/lib/Steering/flowmemory.cpp
+++ b/lib/Steering/flowmemory.cpp
@@ -17,17 +17,6 @@
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
-FlowState &FlowMemory::at(const SteeredFlow &flow)
-{
-    if (FlowState *const known = find(flow)) {
-        return *known;
-    }
-    if (m_flows.size() >= m_capacity) {
-        m_flows.erase(m_flows.begin());
-    }
-    return m_flows[flow];
-}
-
 void FlowMemory::erase(const SteeredFlow &flow)
 {
     m_flows.erase(flow);
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -50,20 +50,6 @@
     return m_currentAt != TimePoint{} && now - m_currentAt <= m_settings.refusalAge;
 }
 
-void SteeringEngine::noteDataCentre(const std::string &name, bool isHeard, TimePoint now)
-{
-    for (auto &[key, target] : m_targets.targets()) {
-        if (target.record.dataCentre != name) {
-            continue;
-        }
-        if (isHeard) {
-            target.evidence.noteDataCentreHeard();
-        } else {
-            target.evidence.noteDataCentreSilence(now);
-        }
-    }
-}
-
 SteeringDecision SteeringEngine::forward(KnownTarget &target, SteeringToken token, SteeringCause cause)
 {
     SteeringDecision decision;
@@ -110,6 +96,11 @@
     state.token = token;
 }
 
+FlowState &SteeringEngine::remember(const SteeredFlow &flow)
+{
+    return m_flows.at(flow, [this](FlowState &dropped) { release(dropped); });
+}
+
 void SteeringEngine::release(FlowState &state)
 {
     KnownTarget *const target = state.target == 0 ? nullptr : m_targets.find(state.target);
@@ -162,7 +153,7 @@
     if (target == nullptr) {
         return isCurrent(now) ? refuse(SteeringCause::NoTarget, 0) : ignore(SteeringCause::NoTarget);
     }
-    FlowState &state = m_flows.at(packet.flow);
+    FlowState &state = remember(packet.flow);
     const bool isMoved = isCopy && state.target != target->key;
     bind(state, *target, token);
     state.stage = FlowStage::Opening;
@@ -217,7 +208,7 @@
 {
     // A target may be missing here because it is new, or because its entry lapsed for a moment.
     const bool isSettled = m_loadedAt != TimePoint{} && now - m_loadedAt >= m_settings.directory.lapseGrace;
-    FlowState &state = m_flows.at(packet.flow);
+    FlowState &state = remember(packet.flow);
     const bool isFirst = state.seenAt == TimePoint{};
     if (isFirst) {
         state.seenAt = now;
@@ -245,7 +236,7 @@
     }
     const bool isRemembered = known != nullptr && known->target == target->key;
     const bool isByMemory = isRemembered && known->token != packet.token;
-    FlowState &state = m_flows.at(packet.flow);
+    FlowState &state = remember(packet.flow);
     bind(state, *target, isRemembered ? state.token : packet.token);
     learnFrom(packet, state, *target, now);
     if (packet.isReset) {
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -255,6 +255,21 @@
     EXPECT_EQ(instance.engine.flows().size(), 0U);
 }
 
+TEST(SteeringEngine, AFullMemoryReleasesTheFlowsItDrops)
+{
+    SteeredInstance instance(4);
+    constexpr std::uint32_t Capacity = 4096;
+    for (std::uint32_t caller = 0; caller < 3 * Capacity; ++caller) {
+        instance.open(caller);
+    }
+    std::size_t counted = 0;
+    for (std::uint32_t number = 0; number < 4; ++number) {
+        counted += instance.target(number).openFlows;
+    }
+    EXPECT_EQ(instance.engine.flows().size(), Capacity);
+    EXPECT_EQ(counted, Capacity) << "a dropped flow still weighs on its target";
+}
+
 TEST(SteeringEngine, NoTargetIsSaidAtOnce)
 {
     SteeredInstance instance(0);
