Let a test step an instance's clock and stand between peers; drop a setting that nothing read

Cause: a fault soak of the real programs must step clocks and harm the links between instances from outside, and an instance could be reached by its peers only where it listens. 'clock-offset' and 'bind-address' are settings; the second also serves address translation. 'target-heartbeat' was read and used by nothing: its line in the test and in the template gave way to the new settings (13 known keys of the template instead of 14; the check stays exact). The time of day has one function for both kinds of instance. Before: no such setting. Ruled out: preloading a library that changes the clock, and a second address family.

--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -10,6 +10,7 @@
 #include "jasminequay/Support/linelog.h"
 #include "jasminequay/Support/logevent.h"
 #include "jasminequay/Support/timerservice.h"
+#include "jasminequay/Support/wallclock.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -25,13 +26,16 @@
 template <SteeringDeployment Attachment> class SteeringNode
 {
 public:
-    /// `incarnation` grows with each start of the instance.
-    SteeringNode(const SteeringInstanceSettings &settings, SettingsWatch watch, const LineLog &log,
-        std::uint64_t incarnation)
+    /// `clock` is stepped when the settings say so. The time of day at the start is the incarnation among the
+    /// peers.
+    SteeringNode(
+        const SteeringInstanceSettings &settings, SettingsWatch watch, const LineLog &log, WallClock &clock)
         : m_settings(settings)
         , m_log(log)
+        , m_clock(clock)
         , m_watch(std::move(watch))
-        , m_control(m_context, settings, std::string(Attachment::TargetNameHeader), incarnation, bootTime())
+        , m_control(m_context, settings, std::string(Attachment::TargetNameHeader),
+              static_cast<std::uint64_t>(clock.milliseconds()), bootTime())
         , m_path(m_context, m_control.engine(),
               {[this]() { return m_control.maySteer(bootTime()); },
                   [this](const PacketSummary &packet, const SteeringDecision &decision, TimePoint now) {
@@ -57,7 +61,7 @@
         BOOST_LEAF_CHECK(m_control.open());
         BOOST_LEAF_CHECK(m_path.open(m_context, m_settings.packets));
         BOOST_LEAF_CHECK(m_readiness.open(m_settings.readiness));
-        BOOST_LEAF_CHECK(m_pages.open(m_settings.control));
+        BOOST_LEAF_CHECK(m_pages.open({m_settings.boundAddress(), m_settings.control.port}));
         LogEvent(Severity::Info, "instance-started")
             .with("instance", m_settings.instance)
             .with("data_centre", m_settings.dataCentre)
@@ -131,6 +135,7 @@
     {
         if (const std::optional<SteeringInstanceSettings> settings = m_watch.poll()) {
             m_settings = *settings;
+            m_clock.setOffset(settings->clockOffset);
             m_control.adopt(*settings);
         }
     }
@@ -161,6 +166,7 @@
 
     SteeringInstanceSettings m_settings;
     const LineLog &m_log;
+    WallClock &m_clock;
     SettingsWatch m_watch;
     boost::asio::io_context m_context{1};
     SteeringControl m_control;
--- a/include/jasminequay/Settings/steeringinstancesettings.h
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -6,6 +6,7 @@
 #include "jasminequay/Support/timepoint.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,18 @@
     Duration settingsBound = std::chrono::seconds(3); ///< How soon a change must be in force everywhere.
     Duration gracePeriod = std::chrono::seconds(6); ///< The time between SIGTERM and SIGKILL.
     Duration flowLifetime = std::chrono::seconds(60); ///< How long a silent flow is remembered.
-    Duration targetHeartbeat = std::chrono::seconds(1); ///< How often targets renew their entries.
     std::uint32_t storeReadsPerSecond = 2000; ///< The budget of the whole fleet.
     std::uint32_t flowMemory = 65536; ///< The flows that are remembered.
     std::string logLevel = "info";
+    /// Where peers' messages and control pages arrive, if peers know the instance by a translated address.
+    std::optional<Ipv4Address> bindAddress;
+    Duration clockOffset = {}; ///< Added to the machine's time of day.
+
+    /// Returns the address at which the instance itself listens for its peers.
+    [[nodiscard]] Ipv4Address boundAddress() const
+    {
+        return bindAddress.value_or(control.address);
+    }
 };
 
 /// Settings, usable only when there are no mistakes.
--- a/lib/Node/nodeclock.h
+++ b/lib/Node/nodeclock.h
@@ -3,8 +3,6 @@
 
 #include "jasminequay/Support/timepoint.h"
 
-#include <cstdint>
-
 namespace jasminequay
 {
 
@@ -14,11 +12,4 @@
     return std::chrono::steady_clock::now();
 }
 
-/// Returns the milliseconds since 1970, for records that other machines compare.
-inline std::int64_t wallMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-}
-
 } // namespace jasminequay
--- a/lib/Node/nodecontrol.cpp
+++ b/lib/Node/nodecontrol.cpp
@@ -3,6 +3,7 @@
 #include "nodeclock.h"
 
 #include "jasminequay/Support/logevent.h"
+#include "jasminequay/Support/wallclock.h"
 
 #include <boost/asio/post.hpp>
 
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -70,7 +70,7 @@
 
 Result<void> SteeringControl::open()
 {
-    return m_peers.open({m_settings.control.address, m_settings.peerPort});
+    return m_peers.open({m_settings.boundAddress(), m_settings.peerPort});
 }
 
 StoreReadRequest SteeringControl::nextRead(TimePoint now) const
@@ -283,7 +283,7 @@
 {
     const bool needsRestart = settings.packets != m_settings.packets || settings.control != m_settings.control
         || settings.readiness != m_settings.readiness || settings.peerPort != m_settings.peerPort
-        || settings.store != m_settings.store;
+        || settings.store != m_settings.store || settings.bindAddress != m_settings.bindAddress;
     m_fleet.adopt(settings.seeds, settings.settingsBound, bootTime());
     m_settings.seeds = settings.seeds;
     m_settings.settingsBound = settings.settingsBound;
--- a/lib/Settings/settingparsers.cpp
+++ b/lib/Settings/settingparsers.cpp
@@ -39,4 +39,11 @@
     return std::chrono::duration_cast<Duration>(seconds);
 }
 
+std::optional<Duration> parseSignedDuration(std::string_view text)
+{
+    const bool isNegative = text.starts_with('-');
+    const std::optional<Duration> amount = parseFractionalDuration(isNegative ? text.substr(1) : text);
+    return isNegative && amount ? std::optional(-*amount) : amount;
+}
+
 } // namespace jasminequay
--- a/lib/Settings/settingparsers.h
+++ b/lib/Settings/settingparsers.h
@@ -24,6 +24,9 @@
 /// Parses an amount of seconds or milliseconds that may have a fraction: "1.5s", "250ms".
 std::optional<Duration> parseFractionalDuration(std::string_view text);
 
+/// Parses the same with a sign before it: "-1.5s".
+std::optional<Duration> parseSignedDuration(std::string_view text);
+
 /// Parses a number within bounds.
 template <std::uint64_t Least, std::uint64_t Most>
 std::optional<std::uint64_t> parseWithin(std::string_view text)
--- a/lib/Settings/steeringinstancesettings.cpp
+++ b/lib/Settings/steeringinstancesettings.cpp
@@ -46,6 +46,7 @@
     mapping.takeParsed("control", Kind, true, parseEndpoint, settings.control);
     mapping.takeParsed("store", Kind, true, parseEndpoint, settings.store);
     mapping.takeParsed("peer-port", "a port from 1 to 65535", true, parseWithin<1, 65535>, settings.peerPort);
+    mapping.takeParsed("bind-address", "an IPv4 address", false, parseIpv4Address, settings.bindAddress);
 }
 
 static void readTimes(YamlMapping &mapping, SteeringInstanceSettings &settings)
@@ -54,7 +55,8 @@
     mapping.takeParsed("settings-bound", Kind, false, parseFractionalDuration, settings.settingsBound);
     mapping.takeParsed("grace-period", Kind, false, parseFractionalDuration, settings.gracePeriod);
     mapping.takeParsed("flow-lifetime", Kind, false, parseFractionalDuration, settings.flowLifetime);
-    mapping.takeParsed("target-heartbeat", Kind, false, parseFractionalDuration, settings.targetHeartbeat);
+    mapping.takeParsed("clock-offset", "a duration with a unit (s, ms) that may be negative", false,
+        parseSignedDuration, settings.clockOffset);
 }
 
 static void readInstance(const YAML::Node &root, ParsedSteeringInstanceSettings &parsed)
--- a/tools/jasminequay/steercommand.cpp
+++ b/tools/jasminequay/steercommand.cpp
@@ -10,12 +10,6 @@
 namespace jasminequay
 {
 
-static std::int64_t wallMilliseconds()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-}
-
 static Severity leastSeverity(const std::string &level)
 {
     if (level == "info") {
@@ -32,13 +26,13 @@
         return ExitCode::Mistakes;
     }
     LineLog log(STDOUT_FILENO, leastSeverity(parsed.settings.logLevel), {});
-    setLogSink([&log](Severity severity, std::string_view event, const std::string &pairs) {
+    WallClock clock(parsed.settings.clockOffset);
+    setLogSink([&log, &clock](Severity severity, std::string_view event, const std::string &pairs) {
         const TimePoint now = bootTime();
-        log.take(severity, event, pairs, now, wallMilliseconds());
-        log.flush(now, wallMilliseconds());
+        log.take(severity, event, pairs, now, clock.milliseconds());
+        log.flush(now, clock.milliseconds());
     });
-    SteeringNode<platform::Attachment> node(
-        parsed.settings, SettingsWatch(path, text), log, static_cast<std::uint64_t>(wallMilliseconds()));
+    SteeringNode<platform::Attachment> node(parsed.settings, SettingsWatch(path, text), log, clock);
     BOOST_LEAF_CHECK(node.run());
     setLogSink({});
     return ExitCode::Success;
--- a/unittests/Settings/steeringinstancesettingstest.cpp
+++ b/unittests/Settings/steeringinstancesettingstest.cpp
@@ -23,7 +23,8 @@
 settings-bound: "3000ms"
 grace-period: "6s"
 flow-lifetime: "60s"
-target-heartbeat: "1200ms"
+clock-offset: "-1200ms"
+bind-address: "127.0.2.1"
 store-reads-per-second: "2000"
 )";
 
@@ -43,7 +44,8 @@
     EXPECT_EQ(parsed.settings.seeds.size(), 2U);
     EXPECT_TRUE(parsed.settings.isFirstStart);
     EXPECT_EQ(parsed.settings.settingsBound, std::chrono::seconds(3));
-    EXPECT_EQ(parsed.settings.targetHeartbeat, std::chrono::milliseconds(1200));
+    EXPECT_EQ(parsed.settings.clockOffset, std::chrono::milliseconds(-1200));
+    EXPECT_EQ(format(parsed.settings.boundAddress()), "127.0.2.1");
     EXPECT_EQ(parsed.settings.storeReadsPerSecond, 2000U);
     EXPECT_TRUE(isSteeringInstanceSettings(Whole));
 }
@@ -109,7 +111,7 @@
         EXPECT_NE(known.find(line.substr(0, colon + 1)), std::string::npos) << line;
         ++keys;
     }
-    EXPECT_EQ(keys, 14U);
+    EXPECT_EQ(keys, 13U);
 }
 
 } // namespace jasminequay
--- a/unittests/UsersPlatform/steeringnodetest.cpp
+++ b/unittests/UsersPlatform/steeringnodetest.cpp
@@ -117,13 +117,14 @@
     SteeringInstanceSettings settings;
     std::string file;
     LineLog log;
+    WallClock clock{Duration{}};
 };
 
 TEST_F(SteeringNodeTest, LoadsServesRefusesAndLeaves)
 {
     Party caller(context, 17865);
     Party target(context, 17866);
-    SteeringNode<Attachment> node(settings, SettingsWatch(file, "first"), log, 1);
+    SteeringNode<Attachment> node(settings, SettingsWatch(file, "first"), log, clock);
     bool hasFailed = false;
     std::thread process([&]() {
         hasFailed = withFailure(
