Do not act on what waited through a pause: opening packets, peers' messages and answers

An instance that woke placed opening packets that had waited in its socket for 2.6 s. Traced in the logs: pause-detected, then packets placed; no reset of an instance's own. Found beside it by reading: peers' messages and images that waited are taken for as fresh as they were when sent. Ruled out: evidence about targets (no flow-reset in the logs); keeping late answers from callers, which instances never see. Conclusion: after a pause the queue is read once with openings dropped (cause opening-stale), messages are discarded and counted, and an image counts from its question.

--- a/include/jasminequay/Node/peerchannel.h
+++ b/include/jasminequay/Node/peerchannel.h
@@ -44,6 +44,10 @@
     /// Sends a message to its receivers.
     void send(const OutgoingNews &outgoing);
 
+    /// Drops the messages that came while the instance slept: what they say of ages is wrong by as long as
+    /// they waited. Returns their number.
+    std::size_t discardBacklog();
+
     /// Fetches what a peer knows.
     void fetch(const FetchRequest &request);
 
--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -61,6 +61,12 @@
     /// renewed or could not be for a while.
     [[nodiscard]] bool maySteer(TimePoint now) const;
 
+    /// Returns when the instance last woke from a pause; the start of time if it has not slept.
+    [[nodiscard]] TimePoint wokeAt() const
+    {
+        return m_wokeAt;
+    }
+
     /// Returns what peers fetch.
     [[nodiscard]] std::string image(const FetchRequest &request, TimePoint now);
 
@@ -86,6 +92,8 @@
     }
 
 private:
+    void takeNews(const FleetNews &news, TimePoint now);
+    [[nodiscard]] bool isWaking(TimePoint now) const;
     void perform(const FleetActions &actions);
     void noteChanges(TimePoint now);
     [[nodiscard]] std::string ageText(TimePoint now) const;
--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -37,7 +37,7 @@
         , m_control(m_context, settings, std::string(Attachment::TargetNameHeader),
               static_cast<std::uint64_t>(clock.milliseconds()), bootTime())
         , m_path(m_context, m_control.engine(),
-              {[this]() { return m_control.maySteer(bootTime()); },
+              {[this]() { return m_control.maySteer(bootTime()); }, [this]() { return m_control.wokeAt(); },
                   [this](const PacketSummary &packet, const SteeringDecision &decision, TimePoint now) {
                       m_control.noteDecision(packet, decision, now);
                   }})
--- a/include/jasminequay/Node/steeringpath.h
+++ b/include/jasminequay/Node/steeringpath.h
@@ -59,6 +59,7 @@
 /// What the owner of a path provides.
 struct PathHooks {
     std::function<bool()> maySteer; ///< Whether packets may be read now; others wait in the socket.
+    std::function<TimePoint()> wokeAt; ///< When the instance last woke from a pause.
     /// Told of each decision that is not a plain forward.
     std::function<void(const PacketSummary &, const SteeringDecision &, TimePoint)> note;
 };
@@ -138,6 +139,7 @@
             co_await m_readable.async_wait(boost::asio::posix::stream_descriptor::wait_read,
                 boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
             for (unsigned round = 0; round < BatchesInARow && m_hooks.maySteer(); ++round) {
+                readBacklog();
                 if (readBatch() < BatchSize) {
                     break;
                 }
@@ -145,6 +147,17 @@
         }
     }
 
+    /// Reads what came while the instance slept.
+    void readBacklog()
+    {
+        if (const TimePoint wokeAt = m_hooks.wokeAt(); wokeAt != m_backlogReadAfter) {
+            m_backlogReadAfter = wokeAt;
+            m_engine.setBacklogged(true);
+            while (readBatch() == BatchSize) { }
+            m_engine.setBacklogged(false);
+        }
+    }
+
     std::size_t readBatch()
     {
         const std::size_t count = m_batch.receive(m_socket);
@@ -233,6 +246,7 @@
     std::uint16_t m_port = 0;
     PathCounters m_counters;
     TimePoint m_lastPacketAt;
+    TimePoint m_backlogReadAfter; ///< The end of the pause whose backlog was read last.
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/steeringdecision.h
+++ b/include/jasminequay/Steering/steeringdecision.h
@@ -32,10 +32,11 @@
     TargetDead,
     TargetUnreachable,
     TokenUnknown, ///< The token names no target, and what is known here is current.
+    OpeningStale, ///< An opening packet that waited here while the instance slept.
     TokenUncertain, ///< The token names no target known here, which may be out of date.
 };
 
-constexpr std::size_t SteeringCauseCount = 13;
+constexpr std::size_t SteeringCauseCount = 14;
 
 std::string_view steeringActionName(SteeringAction action);
 std::string_view steeringCauseName(SteeringCause cause);
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -60,6 +60,14 @@
     /// Decides about a summarized packet.
     SteeringDecision decideSummary(const PacketSummary &packet, TimePoint now);
 
+    /// Notes whether the packets that come now waited while the instance slept. Their callers have sent
+    /// copies since, and other instances have placed those: a second target's answer to an old opening packet
+    /// would come when the flow is long open, and lead its packets astray.
+    void setBacklogged(bool isBacklogged)
+    {
+        m_isBacklogged = isBacklogged;
+    }
+
     /// Returns resets for open flows at targets that are lost, `limit` at most a call, and drops old flows.
     std::vector<PendingReset> sweep(TimePoint now, std::size_t limit);
 
@@ -116,6 +124,7 @@
     TimePoint m_currentAt = TimePoint{};
     TimePoint m_loadedAt = TimePoint{}; ///< When the first routes and targets were complete.
     TimePoint m_cleanedAt = TimePoint{};
+    bool m_isBacklogged = false;
 };
 
 } // namespace jasminequay
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -1,6 +1,7 @@
 #include "jasminequay/Fleet/fleetcontrol.h"
 
 #include <map>
+#include <utility>
 
 namespace jasminequay
 {
@@ -65,7 +66,7 @@
 
 FleetActions FleetControl::onImage(const DirectoryImage &image, TimePoint now)
 {
-    m_fetchingSince = TimePoint{};
+    const TimePoint askedAt = std::exchange(m_fetchingSince, TimePoint{});
     const bool isUseful = image.update.revision >= m_revision && image.after <= m_revision
         && (image.update.routes || m_isLoaded);
     if (!isUseful) {
@@ -74,7 +75,10 @@
     const Progress before = progress();
     apply(image.update, now);
     m_needsAll = false;
-    m_engine.noteCurrent(now - image.age);
+    // The answer may have waited here while the instance slept: its age counts from the question on.
+    if (askedAt != TimePoint{}) {
+        m_engine.noteCurrent(askedAt - image.age);
+    }
     FleetActions actions;
     if (m_isFetchingElsewhere) {
         relay(before, actions, now);
--- a/lib/Node/peerchannel.cpp
+++ b/lib/Node/peerchannel.cpp
@@ -102,6 +102,19 @@
     }
 }
 
+std::size_t PeerChannel::discardBacklog()
+{
+    std::size_t discarded = 0;
+    boost::system::error_code error; // the only way to learn that nothing is left
+    while (true) {
+        m_socket.receive(asio::buffer(m_buffer), 0, error);
+        if (error) {
+            return discarded;
+        }
+        ++discarded;
+    }
+}
+
 void PeerChannel::take(std::size_t size, Ipv4Address sender)
 {
     ++m_counters.received;
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -59,7 +59,7 @@
     , m_engine(engineSettings(settings))
     , m_fleet(fleetSettings(settings, incarnation), m_engine, now)
     , m_peers(context,
-          {[this](const FleetNews &news) { perform(m_fleet.onNews(news, bootTime())); },
+          {[this](const FleetNews &news) { takeNews(news, bootTime()); },
               [this](const DirectoryImage &image) { perform(m_fleet.onImage(image, bootTime())); },
               [this](Endpoint) {
                   m_fleet.onFetchFailed(bootTime());
@@ -187,12 +187,26 @@
     return resets;
 }
 
+void SteeringControl::takeNews(const FleetNews &news, TimePoint now)
+{
+    if (!isWaking(now)) {
+        perform(m_fleet.onNews(news, now));
+    }
+}
+
+/// Tells whether the instance has slept and not noticed it yet: packets and messages come before the tick.
+bool SteeringControl::isWaking(TimePoint now) const
+{
+    return now - m_tickedAt > PauseThreshold;
+}
+
 void SteeringControl::detectPause(TimePoint now)
 {
-    if (now - m_tickedAt > PauseThreshold) {
+    if (isWaking(now)) {
         m_wokeAt = now;
         LogEvent(Severity::Warning, "pause-detected")
-            .with("paused_ms", std::chrono::duration_cast<milliseconds>(now - m_tickedAt).count());
+            .with("paused_ms", std::chrono::duration_cast<milliseconds>(now - m_tickedAt).count())
+            .with("messages_discarded", m_peers.discardBacklog());
     }
     m_tickedAt = now;
 }
@@ -202,8 +216,7 @@
     if (!m_fleet.isLoaded()) {
         return false;
     }
-    // A pause is seen here first, as packets come before the tick.
-    const TimePoint wokeAt = now - m_tickedAt > PauseThreshold ? now : m_wokeAt;
+    const TimePoint wokeAt = isWaking(now) ? now : m_wokeAt;
     const bool isRenewed = m_engine.currentAt() >= wokeAt;
     return isRenewed || now - wokeAt >= PauseHold;
 }
--- a/lib/Steering/steeringdecision.cpp
+++ b/lib/Steering/steeringdecision.cpp
@@ -24,6 +24,7 @@
     {SteeringCause::TargetDead, "target-dead"},
     {SteeringCause::TargetUnreachable, "target-unreachable"},
     {SteeringCause::TokenUnknown, "token-unknown"},
+    {SteeringCause::OpeningStale, "opening-stale"},
     {SteeringCause::TokenUncertain, "token-uncertain"},
 }};
 
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -133,6 +133,9 @@
 
 SteeringDecision SteeringEngine::decideOpening(const PacketSummary &packet, TimePoint now)
 {
+    if (m_isBacklogged) {
+        return ignore(SteeringCause::OpeningStale);
+    }
     const Route *const route = m_routes.at(packet.flow.service);
     if (route == nullptr) {
         return isCurrent(now) ? refuse(SteeringCause::NoRoute, 0) : ignore(SteeringCause::RouteUncertain);
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -278,7 +278,38 @@
     EXPECT_TRUE(cluster.runUntil([&]() { return cluster.isKnownLeaving(record); }, Bound));
 }
 
-/// An instance sleeps while an entry goes; all that saw it go start again, and cannot name what they never knew.
+/// Answers an instance that sleeps while a peer's answer waits in its socket.
+TEST(Fleet, WhatAPeerHandsOverIsNoFresherThanTheQuestion)
+{
+    const TimePoint start(std::chrono::hours(1));
+    SteeringEngine engine({});
+    FleetSettings settings;
+    settings.control = {{1}, 8166};
+    settings.dataCentre = "dc-0";
+    FleetControl control(settings, engine, start);
+    FleetNews news;
+    DigestEntry entry;
+    entry.control = {{2}, 8166};
+    entry.instance = format(entry.control);
+    entry.dataCentre = "dc-0";
+    entry.incarnation = 1;
+    news.sender = entry.instance;
+    news.digest.peerControl = entry.control;
+    news.digest.entries.push_back(entry);
+    news.standing = {true, 7, 1, milliseconds(100), true};
+    ASSERT_TRUE(control.onNews(news, start).fetch);
+    DirectoryImage image;
+    image.age = milliseconds(100);
+    image.update.isComplete = true;
+    image.update.revision = 7;
+    image.update.routes = RouteConfiguration{1, seconds(15), {}, {}};
+    control.onImage(image, start + seconds(5));
+    EXPECT_TRUE(control.isLoaded());
+    EXPECT_EQ(engine.currentAt(), start - milliseconds(100));
+}
+
+/// An instance sleeps while an entry goes; all that saw it go start again, and cannot name what they never
+/// knew.
 TEST(Fleet, WhoMissedARemovalLearnsItFromPeersThatStartedAfterIt)
 {
     FakeCluster cluster({3, 1, 12});
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -40,6 +40,22 @@
     EXPECT_NE(second.target, first.target);
 }
 
+/// Answers an instance that wakes among others that go on: soak seed 35, flows reset by a second target.
+TEST(SteeringEngine, OpeningPacketsThatWaitedThroughAPauseAreDropped)
+{
+    SteeredInstance instance(18);
+    const SteeringDecision before = instance.open(1);
+    instance.engine.setBacklogged(true);
+    const SteeringDecision stale = instance.take(openingOf(2));
+    EXPECT_EQ(stale.action, SteeringAction::Drop);
+    EXPECT_EQ(stale.cause, SteeringCause::OpeningStale);
+    const SteeringDecision later = instance.take(dataOf(1, before.token, 1001, 5000, 100));
+    EXPECT_EQ(later.action, SteeringAction::Forward) << "open flows go on";
+    instance.engine.setBacklogged(false);
+    EXPECT_EQ(instance.take(openingOf(2, 1)).action, SteeringAction::Forward)
+        << "the caller's copy is served";
+}
+
 TEST(SteeringEngine, UnknownRoutesAreRefusedOnlyByACurrentView)
 {
     SteeredInstance instance(3);
--- a/unittests/UsersPlatform/steeringnodetest.cpp
+++ b/unittests/UsersPlatform/steeringnodetest.cpp
@@ -173,6 +173,31 @@
     EXPECT_FALSE(hasFailed);
 }
 
+/// Answers an instance that wakes: what its peers said meanwhile counts as older than it claims.
+TEST(PeerChannelTest, MessagesThatWaitedThroughAPauseAreDropped)
+{
+    asio::io_context context;
+    unsigned heard = 0;
+    PeerChannel channel(context,
+        {[&heard](const FleetNews &) { ++heard; }, [](const DirectoryImage &) {},
+            [](Endpoint) {
+            }});
+    ASSERT_TRUE(withFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(channel.open(local(17871)));
+            return true;
+        },
+        [](const Failure &) { return false; }));
+    OutgoingNews outgoing;
+    outgoing.to = {local(17872), local(17873), local(17874)};
+    outgoing.news.sender = "127.0.0.1:17872";
+    channel.send(outgoing);
+    EXPECT_EQ(channel.discardBacklog(), 3U);
+    context.poll();
+    EXPECT_EQ(heard, 0U);
+    EXPECT_EQ(channel.discardBacklog(), 0U);
+}
+
 TEST(SettingsWatchTest, TakesChangesAndKeepsWhatIsGood)
 {
     const std::string path
