Hand routes on in a tree, so that no reader serves a whole data centre

Members beyond the first twelve in the order of readers now fetch from the one above them in a tree of twelve, which tells them when it has the change; whoever hears nothing for 0.2 s fetches from whom it heard. Ruled out: routes in the reader's datagrams (10 KB do not fit); a shorter list of receivers (gossip takes seconds). Before: 82 fetches at the busiest of 83 (RoutesAreHandedOnInATree fails). After: at most 24 (bound), in force within 0.3 s; with a third of the instances dead at that moment within 1 s.

--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -62,6 +62,10 @@
 /// reads fail.
 constexpr std::size_t ReadersTold = 2;
 
+/// The instances that fetch what is new from the same one: in a large data centre routes are handed on in a
+/// tree over the order of readers, so that no instance serves all others.
+constexpr std::size_t FetchFanOut = 12;
+
 /// Keeps an engine informed. What a peer tells is what the store has told it: revisions order all, and
 /// versions never go back.
 class FleetControl
@@ -143,6 +147,10 @@
     void apply(const DirectoryUpdate &update, TimePoint now);
     [[nodiscard]] DirectoryChanges changesOf(const DirectoryUpdate &update) const;
     void fetchFrom(const std::string &member, FleetActions &actions, TimePoint now);
+    void fetchLater(const FleetNews &news, FleetActions &actions, TimePoint now);
+    [[nodiscard]] bool isBehind(const KnowledgeStanding &standing) const;
+    [[nodiscard]] std::string parent() const;
+    [[nodiscard]] std::vector<Endpoint> children() const;
     [[nodiscard]] bool isMine(const std::string &dataCentre) const
     {
         return dataCentre == m_settings.dataCentre;
@@ -167,6 +175,13 @@
     TimePoint m_readAt; ///< When the store last answered.
     TimePoint m_fetchingSince; ///< The start of time if nothing is being fetched.
     TimePoint m_fetchFailedAt;
+    /// A member that has something newer, which the instance above in the tree has not handed on yet.
+    struct Awaited {
+        std::string member;
+        KnowledgeStanding standing;
+        TimePoint until;
+    };
+    std::optional<Awaited> m_awaited;
     bool m_isFetchingElsewhere = false; ///< Whether the peer is of another data centre.
 };
 
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -24,6 +24,9 @@
 constexpr Duration FetchTimeout = milliseconds(400);
 constexpr Duration FetchPause = milliseconds(50);
 
+/// How long an instance waits for the one above it in the tree: some times what two fetches take.
+constexpr Duration TreePatience = milliseconds(200);
+
 static MembershipTiming fleetTiming()
 {
     MembershipTiming timing;
@@ -123,13 +126,22 @@
     if (m_fetchingSince != TimePoint{} && now - m_fetchingSince > FetchTimeout) {
         onFetchFailed(now);
     }
+    FleetActions actions;
+    if (m_awaited && now >= m_awaited->until) {
+        if (isBehind(m_awaited->standing)) {
+            fetchFrom(m_awaited->member, actions, now);
+        }
+        m_awaited.reset();
+    }
     if (m_beatAt != TimePoint{} && now - m_beatAt < interval) {
-        return {};
+        return actions;
     }
     m_beatAt = now;
     m_members.setPlatformFailing(m_plan.isFailing(now));
     m_readerOrders.clear();
-    return wrap(m_members.tick(now), now);
+    FleetActions beat = wrap(m_members.tick(now), now);
+    std::move(beat.news.begin(), beat.news.end(), std::back_inserter(actions.news));
+    return actions;
 }
 
 FleetActions FleetControl::tellReaders(TimePoint now, bool withOtherDataCentres) const
@@ -222,6 +234,23 @@
         found->second.peerControl, m_isLoaded ? m_revision : 0, m_engine.routes().configuration().version};
 }
 
+bool FleetControl::isBehind(const KnowledgeStanding &standing) const
+{
+    return standing.revision > m_revision
+        || standing.routesVersion > m_engine.routes().configuration().version || !m_isLoaded;
+}
+
+/// Fetches at once, or gives the instance above in the tree time to hand on.
+void FleetControl::fetchLater(const FleetNews &news, FleetActions &actions, TimePoint now)
+{
+    const std::string above = m_isLoaded && isMine(news.digest.entries.front().dataCentre) ? parent() : "";
+    if (above.empty() || above == news.sender) {
+        fetchFrom(news.sender, actions, now);
+    } else if (!m_awaited) {
+        m_awaited = Awaited{news.sender, news.standing, now + TreePatience};
+    }
+}
+
 void FleetControl::takeStanding(const FleetNews &news, FleetActions &actions, TimePoint now)
 {
     const KnowledgeStanding &standing = news.standing;
@@ -231,10 +260,8 @@
     if (isApplicable) {
         apply({standing.revision, false, std::nullopt, changes.targets, changes.removals, {}}, now);
     }
-    const bool isBehind = standing.revision > m_revision
-        || standing.routesVersion > m_engine.routes().configuration().version || !m_isLoaded;
-    if (isBehind) {
-        fetchFrom(news.sender, actions, now);
+    if (isBehind(standing)) {
+        fetchLater(news, actions, now);
     } else if (standing.revision == m_revision) {
         m_engine.noteCurrent(now - standing.age);
     }
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -82,6 +82,8 @@
     FleetActions actions;
     if (m_isFetchingElsewhere) {
         relay(before, actions, now);
+    } else if (std::vector<Endpoint> below = children(); !below.empty()) {
+        actions.news.push_back({std::move(below), newsWith(ownEntry(), now)});
     }
     return actions;
 }
--- a/lib/Fleet/fleetreaders.cpp
+++ b/lib/Fleet/fleetreaders.cpp
@@ -51,6 +51,28 @@
     return position->second;
 }
 
+/// Returns the instance from which this one fetches; empty for the first reader and those next to it, which
+/// fetch from whoever has something newer.
+std::string FleetControl::parent() const
+{
+    const std::size_t rank = readerView().rank;
+    return rank <= FetchFanOut ? std::string() : readerOrder(m_settings.dataCentre)[(rank - 1) / FetchFanOut];
+}
+
+/// Returns the instances that wait for this one to hand on.
+std::vector<Endpoint> FleetControl::children() const
+{
+    const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
+    const std::size_t first = readerView().rank * FetchFanOut + 1;
+    std::vector<Endpoint> found;
+    for (std::size_t rank = first; rank < std::min(first + FetchFanOut, order.size()); ++rank) {
+        if (rank > FetchFanOut) {
+            found.push_back(m_members.members().at(order[rank]).peerControl);
+        }
+    }
+    return found;
+}
+
 ReaderView FleetControl::readerView() const
 {
     const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -266,6 +266,7 @@
         const DirectoryImage image
             = members[fetch.from].control->image(fetch.request.after, fetch.request.routesVersion, now);
         fetchedTargets += image.update.targets.size();
+        ++fetchesServed[fetch.from];
         perform(number, member.control->onImage(image, now));
     } else if (now >= fetch.failsAt) {
         member.fetch.reset();
--- a/unittests/Fleet/fakecluster.h
+++ b/unittests/Fleet/fakecluster.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -99,6 +100,7 @@
     std::vector<FakeMember> members;
     TimePoint now = TimePoint(std::chrono::hours(1));
     std::uint64_t messages = 0;
+    std::map<std::size_t, std::uint64_t> fetchesServed; ///< By the instance that handed over.
     std::uint64_t fetchedTargets = 0; ///< Entries that peers handed over on request.
     std::uint64_t regressions = 0; ///< Versions that went back within the life of an instance.
 
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -329,6 +329,39 @@
     EXPECT_EQ(cluster.members[0].engine->targets().listedCount(), 11U);
 }
 
+/// Answers a change of routes in a large data centre: one instance cannot hand them to all others.
+TEST(Fleet, RoutesAreHandedOnInATree)
+{
+    FakeCluster cluster({83, 1, 150});
+    cluster.run(seconds(8));
+    cluster.fetchesServed.clear();
+    const std::optional<Duration> taken = timeToForce(cluster);
+    ASSERT_TRUE(taken);
+    EXPECT_LT(*taken, milliseconds(300));
+    cluster.run(seconds(2));
+    // Of 9 KB a second for control: 24 fetches of 10 KB at a change each 129 s are 1.9 KB a second.
+    constexpr std::uint64_t MostFetches = 24;
+    for (const auto &[number, fetches] : cluster.fetchesServed) {
+        EXPECT_LE(fetches, MostFetches) << "by " << number;
+    }
+}
+
+TEST(Fleet, ADeadInstanceInTheTreeHoldsNobodyUpForLong)
+{
+    FakeCluster cluster({83, 1, 150});
+    cluster.run(seconds(8));
+    // Those that hand on to others, and the one that reads, die at the moment of the change.
+    const std::vector<std::size_t> readers = cluster.readers();
+    for (std::size_t number = 0; number < 83; number += 3) {
+        if (number != readers.front()) {
+            cluster.kill(number);
+        }
+    }
+    const std::optional<Duration> taken = timeToForce(cluster);
+    ASSERT_TRUE(taken);
+    EXPECT_LT(*taken, seconds(1));
+}
+
 TEST(Fleet, ManyChangesAtOnceReachEverybody)
 {
     FakeCluster cluster({75, 5});
