--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -35,8 +35,9 @@
     scripts/setup.sh build-asan -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DJASMINEQUAY_SANITIZER=address,undefined \
         -DJASMINEQUAY_BUILD_BENCHMARKS=OFF
     run_programs build-asan
-    BUILD_TARGETS="NodeTests FabricTests PlatformTests PeerTests UsersPlatformTests" scripts/setup.sh build-tsan -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DJASMINEQUAY_SANITIZER=thread \
-        -DJASMINEQUAY_BUILD_BENCHMARKS=OFF
+    # Only the programs with threads.
+    BUILD_TARGETS="NodeTests FabricTests PlatformTests PeerTests UsersPlatformTests" scripts/setup.sh build-tsan \
+        -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DJASMINEQUAY_SANITIZER=thread -DJASMINEQUAY_BUILD_BENCHMARKS=OFF
     TSAN_OPTIONS="suppressions=$PWD/utils/tsan-suppressions.txt" run_programs build-tsan -R 'Node|Fabric|Platform|Peer'
 fi
 echo "all tests passed"
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -41,20 +41,24 @@
     options.add_options()("program", "the jasminequay binary", cxxopts::value<std::string>())("folder",
         "where settings and logs go",
         cxxopts::value<std::string>())("seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "instances", "", cxxopts::value<std::size_t>()->default_value("6"))(
-        "seconds", "", cxxopts::value<unsigned>()->default_value("30"))(
+        "instances", "", cxxopts::value<std::size_t>()->default_value("6"))("seconds", "",
+        cxxopts::value<unsigned>()->default_value("30"))("plan", "print the faults, play nothing")(
         "flows", "new flows a second", cxxopts::value<double>()->default_value("60"));
     try {
         const cxxopts::ParseResult given = options.parse(argc, argv);
         boost::asio::io_context holderContext;
         boost::asio::ip::tcp::acceptor holder(holderContext);
         RunOptions run;
-        run.program = given["program"].as<std::string>();
-        run.folder = given["folder"].as<std::string>();
         run.seed = given["seed"].as<std::uint64_t>();
         run.instances = given["instances"].as<std::size_t>();
         run.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         run.flowsPerSecond = given["flows"].as<double>();
+        if (given.count("plan") > 0) {
+            SoakRun::printPlan(run);
+            return 0;
+        }
+        run.program = given["program"].as<std::string>();
+        run.folder = given["folder"].as<std::string>();
         const std::optional<std::uint8_t> network = takeNetwork(holder);
         if (!network) {
             std::cerr << "soak: all loopback networks are taken\n";
--- a/test/soak/process.cpp
+++ b/test/soak/process.cpp
@@ -15,6 +15,7 @@
 Process::Process(const std::vector<std::string> &words, const std::string &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (const std::string &word : words) {
         arguments.push_back(const_cast<char *>(word.c_str()));
     }
--- a/test/soak/soakrun.cpp
+++ b/test/soak/soakrun.cpp
@@ -39,13 +39,25 @@
 constexpr Duration Recovery = milliseconds(6500);
 constexpr Duration Calm = milliseconds(4000);
 
+static std::vector<Fault> faultsOf(const RunOptions &options)
+{
+    return drawFaults(options.seed, FirstFault, options.duration - Recovery - Calm);
+}
+
+void SoakRun::printPlan(const RunOptions &options)
+{
+    for (const Fault &fault : faultsOf(options)) {
+        std::printf("%s\n", describe(fault).c_str());
+    }
+}
+
 SoakRun::SoakRun(const RunOptions &options)
     : m_options(options)
     , m_timer(m_context)
     , m_promises(options.instances, Bounds{})
     , m_store(m_context)
     , m_publication(m_store, m_promises)
-    , m_faults(drawFaults(options.seed, FirstFault, options.duration - Recovery - Calm))
+    , m_faults(faultsOf(options))
     , m_random(options.seed)
 {
     m_store.pageSize = 500;
--- a/test/soak/soakrun.h
+++ b/test/soak/soakrun.h
@@ -35,6 +35,9 @@
 public:
     explicit SoakRun(const RunOptions &options);
 
+    /// Prints the faults of a run without playing it.
+    static void printPlan(const RunOptions &options);
+
     /// Plays the run and prints its faults, breaches and counts. Returns whether every promise was kept.
     bool play();
 
