--- a/test/soak/process.cpp
+++ b/test/soak/process.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <ctime>
 #include <system_error>
 
 #include <fcntl.h>
@@ -49,6 +50,16 @@
     }
 }
 
+Duration Process::processorTime() const
+{
+    clockid_t clock{};
+    timespec time{};
+    if (clock_getcpuclockid(m_id, &clock) != 0 || clock_gettime(clock, &time) != 0) {
+        return Duration::zero();
+    }
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 bool Process::hasEnded()
 {
     m_hasEnded = m_hasEnded || waitpid(m_id, &m_status, WNOHANG) == m_id;
--- a/test/soak/process.h
+++ b/test/soak/process.h
@@ -1,6 +1,8 @@
 // A process that the soak starts, signals by its id, and reaps.
 #pragma once
 
+#include "jasminequay/Support/timepoint.h"
+
 #include <string>
 #include <vector>
 
@@ -27,6 +29,9 @@
     /// Reaps the process if it has ended; tells whether it has.
     bool hasEnded();
 
+    /// Returns the processor time that the process has used so far; zero if it has ended.
+    [[nodiscard]] Duration processorTime() const;
+
     /// Returns the status with which it ended, as waitpid() gives it.
     [[nodiscard]] int status() const
     {
--- a/test/soak/soakinstance.h
+++ b/test/soak/soakinstance.h
@@ -54,6 +54,12 @@
     /// Restarts, wakes and reaps. Returns what went wrong, or nothing.
     std::string tick(TimePoint now);
 
+    /// Returns the processor time of its present process.
+    [[nodiscard]] Duration processorTime() const
+    {
+        return m_process->processorTime();
+    }
+
     [[nodiscard]] LifeStage stage() const
     {
         return m_stage;
