Evaluate a test's condition once when it is met

Ruled out: the product's buffers (the bytes printed were those of an empty optional). The check is as strict as before: the condition must hold within the limit, and now at the moment that is reported.

--- a/unittests/UsersPlatform/steeringnodetest.cpp
+++ b/unittests/UsersPlatform/steeringnodetest.cpp
@@ -96,10 +96,12 @@
     template <typename Condition> bool runUntil(Condition condition)
     {
         const auto limit = std::chrono::steady_clock::now() + seconds(20);
-        while (!condition() && std::chrono::steady_clock::now() < limit) {
+        bool isMet = condition();
+        while (!isMet && std::chrono::steady_clock::now() < limit) {
             context.run_one_for(std::chrono::milliseconds(5));
+            isMet = condition();
         }
-        return condition();
+        return isMet;
     }
 
     /// Gets a page of the instance.
