--- a/unittests/Platform/platformtest.cpp
+++ b/unittests/Platform/platformtest.cpp
@@ -25,10 +25,12 @@
 template <typename Condition> static bool runUntil(asio::io_context &context, Condition condition)
 {
     const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!condition() && std::chrono::steady_clock::now() < limit) {
+    bool isMet = condition();
+    while (!isMet && std::chrono::steady_clock::now() < limit) {
         context.run_one_for(std::chrono::milliseconds(100));
+        isMet = condition();
     }
-    return condition();
+    return isMet;
 }
 
 /// Two files that a platform publishes.
