--- a/benchmarks/steeringbenchmark.cpp
+++ b/benchmarks/steeringbenchmark.cpp
@@ -118,6 +118,22 @@
 }
 BENCHMARK(loadImage)->Arg(18)->Arg(150)->Arg(4100);
 
+/// The heartbeat of a numbered member of six data centres.
+static FleetNews heartbeatOf(std::uint32_t number, std::uint64_t heartbeat)
+{
+    FleetNews news;
+    DigestEntry entry;
+    entry.control = {{number + 2}, 8166};
+    entry.instance = format(entry.control);
+    entry.dataCentre = "dc-" + std::to_string(number % 6);
+    entry.incarnation = 1;
+    entry.heartbeat = heartbeat;
+    news.sender = entry.instance;
+    news.digest.entries.push_back(entry);
+    news.digest.peerControl = entry.control;
+    return news;
+}
+
 /// A fleet's member that hears a reader's word and decides whether to read itself.
 static void hearReader(benchmark::State &state)
 {
@@ -128,17 +144,8 @@
     FleetControl control(settings, engine, Start);
     control.onImage({directoryOf(150), 0, {}}, Start);
     const auto newsOf = [](std::uint32_t number, std::uint64_t heartbeat) {
-        FleetNews news;
-        DigestEntry entry;
-        entry.control = {{number + 2}, 8166};
-        entry.instance = format(entry.control);
-        entry.dataCentre = "dc-" + std::to_string(number % 6);
-        entry.incarnation = 1;
-        entry.heartbeat = heartbeat;
-        entry.phase = MemberPhase::Ready;
-        news.sender = entry.instance;
-        news.digest.entries.push_back(entry);
-        news.digest.peerControl = entry.control;
+        FleetNews news = heartbeatOf(number, heartbeat);
+        news.digest.entries.front().phase = MemberPhase::Ready;
         news.standing = {true, 151, 1, {}, true};
         return news;
     };
@@ -174,17 +181,7 @@
         ++heartbeat;
         now += std::chrono::seconds(1);
         for (std::uint32_t number = 0; number < state.range(0); ++number) {
-            FleetNews news;
-            DigestEntry entry;
-            entry.control = {{number + 2}, 8166};
-            entry.instance = format(entry.control);
-            entry.dataCentre = "dc-" + std::to_string(number % 6);
-            entry.incarnation = 1;
-            entry.heartbeat = heartbeat;
-            news.sender = entry.instance;
-            news.digest.entries.push_back(entry);
-            news.digest.peerControl = entry.control;
-            control.onNews(news, now);
+            control.onNews(heartbeatOf(number, heartbeat), now);
         }
         state.ResumeTiming();
         for (const OutgoingNews &outgoing : control.tick(now).news) {
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -302,4 +302,10 @@
     }
 }
 
+std::optional<Duration> timeToForce(FakeCluster &cluster, Duration most)
+{
+    cluster.store.changeRoutes();
+    return cluster.runUntil([&]() { return cluster.isInForceEverywhere(); }, most);
+}
+
 } // namespace jasminequay::fleet
--- a/unittests/Fleet/fakecluster.h
+++ b/unittests/Fleet/fakecluster.h
@@ -129,4 +129,11 @@
     std::set<std::size_t> m_storeCuts;
 };
 
+/// How soon a change must be in force in a cluster of the usual settings.
+constexpr Duration Bound = std::chrono::seconds(3);
+
+/// Publishes new routes and returns how long they take to be in force at all running instances; nothing after
+/// `most`.
+std::optional<Duration> timeToForce(FakeCluster &cluster, Duration most = Bound);
+
 } // namespace jasminequay::fleet
