Compare what is listed where a peer cannot name each removal

Cause: an instance whose peer had started after its own revision was sent the whole directory; and after a complete read of the store (lost history) a target that came and went in between stayed known as listed at instances that had seen it come, as neither changes nor images named its removal. Change: an image whose sender cannot name each removal carries a digest of what it lists up to the asked revision; a receiver that lists something else asks for everything. Changes made out of a complete read say so, and are not applied by whoever is in the middle. Instances of older versions are told everything. The routes' objective and priority are read and handed on for what follows.

--- a/benchmarks/steeringbenchmark.cpp
+++ b/benchmarks/steeringbenchmark.cpp
@@ -142,7 +142,9 @@
     settings.control = {{1}, 8166};
     settings.dataCentre = "dc-0";
     FleetControl control(settings, engine, Start);
-    control.onImage({directoryOf(150), 0, {}}, Start);
+    DirectoryImage image;
+    image.update = directoryOf(150);
+    control.onImage(image, Start);
     const auto newsOf = [](std::uint32_t number, std::uint64_t heartbeat) {
         FleetNews news = heartbeatOf(number, heartbeat);
         news.digest.entries.front().phase = MemberPhase::Ready;
@@ -172,7 +174,9 @@
     settings.control = {{1}, 8166};
     settings.dataCentre = "dc-0";
     FleetControl control(settings, engine, Start);
-    control.onImage({directoryOf(150), 0, {}}, Start);
+    DirectoryImage image;
+    image.update = directoryOf(150);
+    control.onImage(image, Start);
     TimePoint now = Start + std::chrono::seconds(10);
     std::uint64_t heartbeat = 0;
     std::size_t bytes = 0;
--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -38,6 +38,7 @@
     Endpoint from; ///< The peer's control address.
     std::uint64_t after = 0; ///< Only what changed since this revision; zero for all.
     std::uint64_t routesVersion = 0; ///< Routes of this version need not be sent.
+    bool takesDigest = true; ///< Whether the sender compares what is listed where removals cannot be named.
 };
 
 /// What is to be done after an event.
@@ -85,8 +86,8 @@
     /// Takes the outcome of a read that began at `startedAt`.
     FleetActions onStoreAnswer(const StoreAnswer &answer, TimePoint startedAt, TimePoint now);
 
-    /// Returns what a peer lacks that has a revision and a version of the routes; everything for zero.
-    [[nodiscard]] DirectoryImage image(std::uint64_t after, std::uint64_t routesVersion, TimePoint now);
+    /// Returns what a peer lacks.
+    [[nodiscard]] DirectoryImage image(const FetchRequest &request, TimePoint now);
 
     /// Takes what a peer knows.
     FleetActions onImage(const DirectoryImage &image, TimePoint now);
@@ -119,6 +120,12 @@
         return m_plan.isReading();
     }
 
+    /// Returns the number of instances of the own data centre, this one included.
+    [[nodiscard]] std::size_t instancesHere() const
+    {
+        return readerOrder(m_settings.dataCentre).size();
+    }
+
     [[nodiscard]] const MemberTable &members() const
     {
         return m_members;
@@ -146,6 +153,8 @@
     void takeStanding(const FleetNews &news, FleetActions &actions, TimePoint now);
     void apply(const DirectoryUpdate &update, TimePoint now);
     [[nodiscard]] DirectoryChanges changesOf(const DirectoryUpdate &update) const;
+    /// Digests what is listed here with a revision up to `revision`, without what `told` names.
+    [[nodiscard]] ListedDigest listedUpTo(std::uint64_t revision, const DirectoryUpdate &told) const;
     void fetchFrom(const std::string &member, FleetActions &actions, TimePoint now);
     void fetchLater(const FleetNews &news, FleetActions &actions, TimePoint now);
     [[nodiscard]] bool isBehind(const KnowledgeStanding &standing) const;
@@ -176,6 +185,8 @@
     TimePoint m_readAt; ///< When the store last answered.
     TimePoint m_fetchingSince; ///< The start of time if nothing is being fetched.
     TimePoint m_fetchFailedAt;
+    std::string m_fetchedMember; ///< The peer that was asked last.
+    bool m_mustFetchAll = false; ///< Whether something was missed that a peer cannot name.
     /// A member that has something newer, which the instance above in the tree has not handed on yet.
     struct Awaited {
         std::string member;
--- a/include/jasminequay/Fleet/fleetnews.h
+++ b/include/jasminequay/Fleet/fleetnews.h
@@ -6,6 +6,7 @@
 #include "jasminequay/Steering/targetevidence.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
 struct DirectoryChanges {
     std::uint64_t after = 0; ///< Receivers that have at least this revision can apply the changes.
     std::uint64_t revision = 0; ///< What they then have.
+    /// Zero, or the revision of a complete read among the changes. What came and went before it is not named,
+    /// so that receivers need exactly `after`, or this one or more.
+    std::uint64_t completeAt = 0;
     std::vector<TargetRecord> targets;
     std::vector<TargetRemoval> removals;
 };
@@ -44,11 +48,23 @@
     std::vector<LossReport> losses;
 };
 
+/// What a directory lists, as a few bytes.
+struct ListedDigest {
+    std::uint64_t count = 0;
+    std::uint64_t sum = 0; ///< Of the hashes of the names, modulo 2^64.
+
+    bool operator==(const ListedDigest &) const = default;
+};
+
 /// What an instance knows, or what changed there since a revision, for a peer that starts or fell behind.
 struct DirectoryImage {
     DirectoryUpdate update;
     std::uint64_t after = 0; ///< The revision since which changes are told; zero where all is.
     Duration age{}; ///< How long ago it was proved to be complete.
+    /// What is listed with a revision up to `after`, where not all removals since can be named: a receiver
+    /// that lists the same has missed none.
+    std::optional<ListedDigest> listed;
+    std::uint64_t removalsKnownSince = 0; ///< The revision after which the sender can name each removal.
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/route.h
+++ b/include/jasminequay/Steering/route.h
@@ -35,6 +35,8 @@
     RequestKind kind = RequestKind::NonIdempotent;
     Duration timeout{}; ///< The callers' deadline for a request; zero where it is not known.
     std::vector<WeightedService> services;
+    Duration objective{}; ///< How soon a request should be answered; zero where it is not known.
+    std::uint32_t priority = 0; ///< Zero is the highest.
 };
 
 /// One version of all routes.
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -156,7 +156,8 @@
 {
     if (m_isLoaded) {
         m_history.add(changesOf(update));
-    } else {
+    }
+    if (!m_isLoaded || update.isComplete) {
         m_engine.targets().noteRemovalsUnknown(update.revision);
     }
     if (update.routes) {
@@ -226,9 +227,10 @@
         return;
     }
     m_fetchingSince = now;
+    m_fetchedMember = member;
     m_isFetchingElsewhere = !isMine(found->second.known.dataCentre);
     actions.fetch = FetchRequest{
-        found->second.peerControl, m_isLoaded ? m_revision : 0, m_engine.routes().configuration().version};
+        found->second.peerControl, m_isLoaded && !m_mustFetchAll ? m_revision : 0, m_engine.routes().configuration().version};
 }
 
 bool FleetControl::isBehind(const KnowledgeStanding &standing) const
@@ -252,8 +254,9 @@
 {
     const KnowledgeStanding &standing = news.standing;
     const DirectoryChanges &changes = news.changes;
+    const bool isInGap = m_revision > changes.after && m_revision < changes.completeAt;
     const bool isApplicable = m_isLoaded && changes.revision == standing.revision
-        && changes.after <= m_revision && standing.revision > m_revision;
+        && changes.after <= m_revision && standing.revision > m_revision && !isInGap;
     if (isApplicable) {
         apply({standing.revision, false, std::nullopt, changes.targets, changes.removals, {}}, now);
     }
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -1,6 +1,7 @@
 #include "jasminequay/Fleet/fleetcontrol.h"
 
 #include <map>
+#include <set>
 #include <utility>
 
 namespace jasminequay
@@ -17,6 +18,7 @@
         changes.targets = update.targets;
         return changes;
     }
+    changes.completeAt = changes.revision;
     std::map<std::string, const TargetRecord *> listed;
     for (const TargetRecord &record : update.targets) {
         listed[record.name] = &record;
@@ -40,27 +42,58 @@
     return changes;
 }
 
-DirectoryImage FleetControl::image(std::uint64_t after, std::uint64_t routesVersion, TimePoint now)
+ListedDigest FleetControl::listedUpTo(std::uint64_t revision, const DirectoryUpdate &told) const
 {
+    std::set<std::string> names;
+    std::set<std::uint64_t> ended;
+    for (const TargetRecord &record : told.targets) {
+        names.insert(record.name);
+    }
+    for (const TargetRemoval &removal : told.removals) {
+        names.insert(removal.name);
+    }
+    for (const TargetRecord &record : told.tombstones) {
+        ended.insert(record.identity.key());
+    }
+    ListedDigest digest;
+    for (const auto &[key, target] : m_engine.targets().targets()) {
+        const bool isCounted = target.presence == TargetPresence::Listed && target.record.revision <= revision
+            && !names.contains(target.record.name) && !ended.contains(key);
+        if (isCounted) {
+            ++digest.count;
+            digest.sum += hashText(target.record.name);
+        }
+    }
+    return digest;
+}
+
+DirectoryImage FleetControl::image(const FetchRequest &request, TimePoint now)
+{
+    const bool isEachRemovalNamed = request.after >= m_engine.targets().removalsKnownSince();
+    const std::uint64_t after = isEachRemovalNamed || request.takesDigest ? request.after : 0;
     DirectoryImage image;
-    after = after < m_engine.targets().removalsKnownSince() ? 0 : after;
     image.after = after;
     image.age = now - m_engine.currentAt();
+    image.removalsKnownSince = m_engine.targets().removalsKnownSince();
     image.update.revision = m_revision;
     image.update.isComplete = after == 0;
-    if (after == 0 || routesVersion < m_engine.routes().configuration().version) {
+    if (after == 0 || request.routesVersion < m_engine.routes().configuration().version) {
         image.update.routes = m_engine.routes().configuration();
     }
     image.update.removals = m_engine.targets().removalsAfter(after);
     for (const auto &[key, target] : m_engine.targets().targets()) {
-        if (target.record.revision <= after) {
+        const bool isGone = target.presence == TargetPresence::Gone;
+        const bool isWanted = target.record.revision > after || (isGone && !isEachRemovalNamed);
+        if (!isWanted) {
             continue;
         }
         TargetRecord record = target.record;
         record.warmUpLeft = std::max<Duration>(target.warmAt - now, Duration::zero());
-        const bool isGone = target.presence == TargetPresence::Gone;
         (isGone ? image.update.tombstones : image.update.targets).push_back(std::move(record));
     }
+    if (after > 0 && !isEachRemovalNamed) {
+        image.listed = listedUpTo(after, image.update);
+    }
     return image;
 }
 
@@ -72,14 +105,21 @@
     if (!isUseful) {
         return {};
     }
+    FleetActions actions;
+    if (image.listed && *image.listed != listedUpTo(image.after, image.update)) {
+        m_mustFetchAll = true;
+        fetchFrom(m_fetchedMember, actions, now);
+        return actions;
+    }
     const Progress before = progress();
     apply(image.update, now);
     m_needsAll = false;
+    m_mustFetchAll = false;
+    m_engine.targets().noteRemovalsUnknown(image.removalsKnownSince);
     // The answer may have waited here while the instance slept: its age counts from the question on.
     if (askedAt != TimePoint{}) {
         m_engine.noteCurrent(askedAt - image.age);
     }
-    FleetActions actions;
     if (m_isFetchingElsewhere) {
         relay(before, actions, now);
     } else if (std::vector<Endpoint> below = children(); !below.empty()) {
--- a/lib/Node/peerchannel.cpp
+++ b/lib/Node/peerchannel.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t LargestFetch = 8 << 20;
 constexpr unsigned StatusOk = 200;
 
+/// Ends the path of a fetch whose sender compares digests; those of older versions do not.
+constexpr std::string_view DigestMark = "&listed=1";
+
 PeerChannel::PeerChannel(asio::io_context &context, PeerHooks hooks)
     : m_context(context)
     , m_socket(context)
@@ -67,7 +70,7 @@
 std::string PeerChannel::fetchPath(const FetchRequest &request)
 {
     return std::string(ImagePath) + "?after=" + std::to_string(request.after)
-        + "&routes=" + std::to_string(request.routesVersion);
+        + "&routes=" + std::to_string(request.routesVersion) + std::string(DigestMark);
 }
 
 std::optional<FetchRequest> PeerChannel::parseFetchPath(std::string_view path)
@@ -77,6 +80,8 @@
     }
     constexpr std::string_view After = "?after=";
     constexpr std::string_view Routes = "&routes=";
+    const bool takesDigest = path.ends_with(DigestMark);
+    path.remove_suffix(takesDigest ? DigestMark.size() : 0);
     const std::size_t routes = path.find(Routes);
     if (!path.starts_with(std::string(ImagePath).append(After)) || routes == std::string_view::npos) {
         return std::nullopt;
@@ -87,7 +92,7 @@
     if (!revision || !version) {
         return std::nullopt;
     }
-    return FetchRequest{{}, *revision, *version};
+    return FetchRequest{{}, *revision, *version, takesDigest};
 }
 
 asio::awaitable<void> PeerChannel::receive()
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -319,7 +319,7 @@
     if (!m_fleet.isLoaded()) {
         return {};
     }
-    return encodeImage(m_fleet.image(request.after, request.routesVersion, now));
+    return encodeImage(m_fleet.image(request, now));
 }
 
 } // namespace jasminequay
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -99,6 +99,8 @@
         toWire(route.address, *body.mutable_address());
         body.set_kind(static_cast<std::uint32_t>(route.kind));
         body.set_timeout_ms(milliseconds(route.timeout));
+        body.set_objective_ms(milliseconds(route.objective));
+        body.set_priority(route.priority);
         for (const WeightedService &service : route.services) {
             wire::WireWeightedService &weighted = *body.add_services();
             weighted.set_service(service.service);
@@ -122,6 +124,8 @@
         route.address = fromWire(body.address());
         route.kind = static_cast<RequestKind>(body.kind());
         route.timeout = std::chrono::milliseconds(body.timeout_ms());
+        route.objective = std::chrono::milliseconds(body.objective_ms());
+        route.priority = body.priority();
         for (const wire::WireWeightedService &service : body.services()) {
             route.services.push_back({service.service(), service.weight()});
         }
@@ -145,6 +149,7 @@
         wire::WireChanges &changes = *wire.mutable_changes();
         changes.set_after(news.changes.after);
         changes.set_revision(news.changes.revision);
+        changes.set_complete_at(news.changes.completeAt);
         for (const TargetRecord &record : news.changes.targets) {
             toWire(record, *changes.add_targets());
         }
@@ -188,7 +193,7 @@
     const wire::WireStanding &standing = wire.standing();
     news.standing = {standing.loaded(), standing.revision(), standing.routes_version(),
         duration(standing.age_us()), standing.reading()};
-    news.changes = {wire.changes().after(), wire.changes().revision(), targetsFrom(wire.changes().targets()),
+    news.changes = {wire.changes().after(), wire.changes().revision(), wire.changes().complete_at(), targetsFrom(wire.changes().targets()),
         removalsFrom(wire.changes().removals())};
     for (const wire::WireLoss &loss : wire.losses()) {
         if (loss.verdict() > static_cast<std::uint32_t>(TargetVerdict::Dead)) {
@@ -205,6 +210,11 @@
     wire.set_revision(image.update.revision);
     wire.set_age_us(microseconds(image.age));
     wire.set_after(image.after);
+    wire.set_removals_known_since(image.removalsKnownSince);
+    if (image.listed) {
+        wire.mutable_listed()->set_count(image.listed->count);
+        wire.mutable_listed()->set_sum(image.listed->sum);
+    }
     if (image.update.routes) {
         toWire(*image.update.routes, *wire.mutable_routes());
     }
@@ -242,6 +252,10 @@
     image.age = duration(wire.age_us());
     image.update.revision = wire.revision();
     image.after = wire.after();
+    image.removalsKnownSince = wire.removals_known_since();
+    if (wire.has_listed()) {
+        image.listed = ListedDigest{wire.listed().count(), wire.listed().sum()};
+    }
     image.update.isComplete = wire.after() == 0;
     if (wire.has_routes()) {
         image.update.routes = fromWire(wire.routes());
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -264,8 +264,9 @@
             return;
         }
         const DirectoryImage image
-            = members[fetch.from].control->image(fetch.request.after, fetch.request.routesVersion, now);
+            = members[fetch.from].control->image(fetch.request, now);
         fetchedTargets += image.update.targets.size();
+        fetchedAgain += member.control->isLoaded() ? image.update.targets.size() : 0;
         ++fetchesServed[fetch.from];
         perform(number, member.control->onImage(image, now));
     } else if (now >= fetch.failsAt) {
--- a/unittests/Fleet/fakecluster.h
+++ b/unittests/Fleet/fakecluster.h
@@ -102,6 +102,7 @@
     std::uint64_t messages = 0;
     std::map<std::size_t, std::uint64_t> fetchesServed; ///< By the instance that handed over.
     std::uint64_t fetchedTargets = 0; ///< Entries that peers handed over on request.
+    std::uint64_t fetchedAgain = 0; ///< Of these, those that instances got that had read the store before.
     std::uint64_t regressions = 0; ///< Versions that went back within the life of an instance.
 
 private:
--- a/unittests/Fleet/fakedirectory.cpp
+++ b/unittests/Fleet/fakedirectory.cpp
@@ -33,13 +33,18 @@
 
 void FakeDirectory::keepForStaleReads()
 {
-    m_stale = readAll();
+    m_stale.assign(1, readAll());
+}
+
+void FakeDirectory::addForStaleReads()
+{
+    m_stale.push_back(readAll());
 }
 
 StoreAnswer FakeDirectory::readAll(bool mayBeStale) const
 {
-    if (mayBeStale && m_stale) {
-        StoreAnswer answer = *m_stale;
+    if (mayBeStale && !m_stale.empty()) {
+        StoreAnswer answer = m_stale[m_staleReads++ % m_stale.size()];
         answer.isStale = true;
         return answer;
     }
--- a/unittests/Fleet/fakedirectory.h
+++ b/unittests/Fleet/fakedirectory.h
@@ -42,6 +42,9 @@
     /// Makes stale reads answer as things are now, until called again.
     void keepForStaleReads();
 
+    /// Makes some stale reads answer as things are now, and others as they were at earlier calls.
+    void addForStaleReads();
+
     /// Answers a waiting read now; an answer without changes if there are none.
     [[nodiscard]] StoreAnswer changesAfter(std::uint64_t revision) const;
 
@@ -69,7 +72,8 @@
     RouteConfiguration m_routes;
     std::map<std::string, TargetRecord> m_targets;
     std::vector<Change> m_history;
-    std::optional<StoreAnswer> m_stale;
+    std::vector<StoreAnswer> m_stale; ///< Stale reads get these in turn.
+    mutable std::size_t m_staleReads = 0;
 };
 
 } // namespace jasminequay::fleet
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -29,7 +29,7 @@
     news.digest.entries.push_back(self);
     news.digest.wantsReply = true;
     news.standing = {true, 71, 7, std::chrono::milliseconds(250), true};
-    news.changes = {69, 71, {sampleTarget(1)}, {{"i-9", 70}}};
+    news.changes = {69, 71, 70, {sampleTarget(1)}, {{"i-9", 70}}};
     news.losses = {{0x1234, TargetVerdict::Unreachable}};
     return news;
 }
