--- /dev/null
+++ b/include/jasminequay/Model/modeltarget.h
@@ -0,0 +1,70 @@
+// A target of the load model: slots, a queue, and what slows it down.
+#pragma once
+
+#include "jasminequay/Model/loadplan.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace jasminequay
+{
+
+/// Runs requests in the order of their arrival. Requests are named by the number of their try.
+class ModelTarget
+{
+public:
+    ModelTarget(unsigned slots, unsigned queue, QueuePolicy policy)
+        : m_slots(slots)
+        , m_queue(queue)
+        , m_policy(policy)
+    {
+    }
+
+    /// What follows from an arrival.
+    struct Arrival {
+        bool isStarted = false;
+        std::optional<std::uint32_t> shed; ///< A request that is turned away.
+    };
+
+    /// Takes a request.
+    Arrival arrive(std::uint32_t request)
+    {
+        if (m_running < m_slots) {
+            ++m_running;
+            return {true, std::nullopt};
+        }
+        if (m_waiting.size() < m_queue) {
+            m_waiting.push_back(request);
+            return {};
+        }
+        if (m_policy == QueuePolicy::RefuseNewest || m_queue == 0) {
+            return {false, request};
+        }
+        const std::uint32_t oldest = m_waiting.front();
+        m_waiting.pop_front();
+        m_waiting.push_back(request);
+        return {false, oldest};
+    }
+
+    /// Ends a request; returns the one that starts in its place, if any waits.
+    std::optional<std::uint32_t> finish()
+    {
+        if (m_waiting.empty()) {
+            --m_running;
+            return std::nullopt;
+        }
+        const std::uint32_t next = m_waiting.front();
+        m_waiting.pop_front();
+        return next;
+    }
+
+private:
+    unsigned m_slots;
+    unsigned m_queue;
+    QueuePolicy m_policy;
+    unsigned m_running = 0;
+    std::deque<std::uint32_t> m_waiting;
+};
+
+} // namespace jasminequay
--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Fleet/fleetcontrol.h"
+#include "jasminequay/Node/loadwatch.h"
 #include "jasminequay/Node/peerchannel.h"
 #include "jasminequay/Node/steeringpath.h"
 #include "jasminequay/Platform/reachabilityprobe.h"
@@ -111,6 +112,7 @@
     SteeringEngine m_engine;
     FleetControl m_fleet;
     PeerChannel m_peers;
+    LoadWatch m_loadWatch;
     StoreCounters m_store;
     ProbeCounters m_probes;
     bool m_isStoreFailing = false;
--- a/include/jasminequay/Steering/flowmemory.h
+++ b/include/jasminequay/Steering/flowmemory.h
@@ -51,9 +51,11 @@
     TimePoint seenAt; ///< When its last packet came.
     TimePoint progressAt; ///< When the caller last acknowledged something new.
     TimePoint sentAt; ///< When the caller last sent something new.
+    TimePoint requestAt; ///< When the request under way began.
     std::uint8_t repeats = 0; ///< How often the caller repeated its data since.
     FlowStage stage = FlowStage::Opening;
     bool isAwaited = false; ///< Whether data was sent that nothing has come back for.
+    bool isUnderWay = false; ///< Whether a request is counted at the target.
 };
 
 /// A bounded table of flows.
--- a/include/jasminequay/Steering/routetable.h
+++ b/include/jasminequay/Steering/routetable.h
@@ -19,6 +19,9 @@
     /// Returns the route of an address; null if there is none.
     [[nodiscard]] const Route *at(Endpoint address) const;
 
+    /// Returns the lowest priority, as a number the highest, of the routes to a service; zero if there is none.
+    [[nodiscard]] std::uint32_t lowestPriority(const std::string &service) const;
+
     /// Returns the configuration in force.
     [[nodiscard]] const RouteConfiguration &configuration() const
     {
@@ -28,6 +31,7 @@
 private:
     RouteConfiguration m_configuration;
     std::unordered_map<std::uint64_t, const Route *> m_byAddress;
+    std::unordered_map<std::string, std::uint32_t> m_lowestPriorities;
 };
 
 /// Returns the services of a route in the order in which a flow should try them: the first by weight, so that
--- a/include/jasminequay/Steering/steeringdecision.h
+++ b/include/jasminequay/Steering/steeringdecision.h
@@ -34,9 +34,10 @@
     TokenUnknown, ///< The token names no target, and what is known here is current.
     OpeningStale, ///< An opening packet that waited here while the instance slept.
     TokenUncertain, ///< The token names no target known here, which may be out of date.
+    ServiceFull, ///< More requests are under way at the service than are answered in time.
 };
 
-constexpr std::size_t SteeringCauseCount = 14;
+constexpr std::size_t SteeringCauseCount = 15;
 
 std::string_view steeringActionName(SteeringAction action);
 std::string_view steeringCauseName(SteeringCause cause);
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -3,12 +3,16 @@
 
 #include "jasminequay/Steering/flowmemory.h"
 #include "jasminequay/Steering/routetable.h"
+#include "jasminequay/Steering/serviceload.h"
 #include "jasminequay/Steering/steeredpacket.h"
 #include "jasminequay/Steering/steeringdecision.h"
 #include "jasminequay/Steering/targetdirectory.h"
 
+#include <algorithm>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminequay
@@ -22,6 +26,7 @@
     /// How old the word of the store may be for a packet to be refused by it.
     Duration refusalAge = std::chrono::milliseconds(1500);
     DirectoryTiming directory;
+    LoadLimits loadLimits;
 };
 
 /// What the engine asks of a packet, whatever its form.
@@ -80,6 +85,23 @@
         return m_currentAt;
     }
 
+    /// Notes among how many instances the targets are shared, this one included: those of its data centre,
+    /// and all.
+    void noteInstances(std::size_t ofDataCentre, std::size_t all)
+    {
+        m_instances = std::max<std::size_t>(ofDataCentre, 1);
+        m_allInstances = std::max<std::size_t>(all, m_instances);
+    }
+
+    /// The load of the targets of a service, by their data centre.
+    using ServiceLoads = std::map<std::pair<std::string, std::string>, ServiceLoad, std::less<>>;
+
+    /// Returns the load of each service that had answers.
+    [[nodiscard]] const ServiceLoads &serviceLoads() const
+    {
+        return m_loads;
+    }
+
     [[nodiscard]] RouteTable &routes()
     {
         return m_routes;
@@ -98,16 +120,33 @@
     }
 
 private:
+    /// A target for a new flow.
+    struct Placement {
+        KnownTarget *target = nullptr;
+        SteeringToken token = NoToken;
+        bool isFull = false; ///< Whether there is none because those that there are have no room.
+    };
+
+    /// The requests of this instance at the targets of a service in a data centre.
+    struct RequestsUnderWay {
+        std::uint32_t count = 0;
+        double slots = 0; ///< The requests that the targets run at a time, this instance's part of them.
+    };
+
     SteeringDecision decideOpening(const PacketSummary &packet, TimePoint now);
     SteeringDecision decideLater(const PacketSummary &packet, TimePoint now);
     SteeringDecision decideUnknown(const PacketSummary &packet, TimePoint now);
     SteeringDecision forward(KnownTarget &target, SteeringToken token, SteeringCause cause);
     SteeringDecision refuse(SteeringCause cause, std::uint32_t sequence);
     SteeringDecision ignore(SteeringCause cause);
-    KnownTarget *place(const Route &route, std::uint64_t flowHash, std::uint64_t avoided,
-        SteeringToken &token, TimePoint now);
+    Placement place(const Route &route, const PacketSummary &packet, std::uint64_t avoided, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void learnFrom(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
+    void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
+    void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now);
+    [[nodiscard]] bool admits(
+        const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
+    [[nodiscard]] RequestsUnderWay underWayAt(const TargetRecord &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     FlowState &remember(const SteeredFlow &flow);
     void release(FlowState &state);
@@ -121,6 +160,9 @@
     TargetDirectory m_targets;
     FlowMemory m_flows;
     SteeringCounters m_counters{};
+    ServiceLoads m_loads;
+    std::size_t m_instances = 1;
+    std::size_t m_allInstances = 1;
     TimePoint m_currentAt = TimePoint{};
     TimePoint m_loadedAt = TimePoint{}; ///< When the first routes and targets were complete.
     TimePoint m_cleanedAt = TimePoint{};
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -15,6 +15,7 @@
     std::uint64_t flowHash = 0;
     std::uint64_t avoided = 0; ///< The key of a target that did not answer; zero for none.
     std::string dataCentre; ///< The instance's own.
+    std::vector<std::string> full; ///< Data centres whose targets have no room; they are left out.
 };
 
 /// Chooses the target with the fewest flows for its slots among those that may take a new one; null where
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -3,6 +3,7 @@
 
 #include "jasminequay/Steering/directoryupdate.h"
 #include "jasminequay/Steering/targetevidence.h"
+#include "jasminequay/Steering/targetpace.h"
 #include "jasminequay/Steering/targetrecord.h"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
     TimePoint drainingSince; ///< When it was first seen draining, if it is.
     TimePoint warmAt; ///< When it stops being slow after its start.
     TargetEvidence evidence;
+    TargetPace pace;
     std::uint32_t openFlows = 0; ///< The flows at it that this instance has seen lately.
 };
 
--- /dev/null
+++ b/lib/Model/loadmodel.cpp
@@ -0,0 +1,379 @@
+#include "jasminequay/Model/loadmodel.h"
+
+#include "jasminequay/Support/enumnames.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace jasminequay
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Endpoint ServiceAddress{{0x0a090001}, 443};
+constexpr std::uint32_t FirstSequence = 1000;
+constexpr std::uint32_t RequestSize = 200;
+constexpr std::uint32_t AnswerSize = 1000;
+constexpr Duration TickInterval = milliseconds(50);
+
+/// Targets close a flow that is idle for this long.
+constexpr Duration IdleLifetime = seconds(12);
+
+/// When a caller copies its opening packet, counted from the first, and when it gives up.
+constexpr std::array<Duration, 3> CopyTimes{milliseconds(200), milliseconds(600), milliseconds(1400)};
+
+static constexpr EnumNames<LoadChange, 3> LoadChangeNames{{
+    {LoadChange::Surge, "surge"},
+    {LoadChange::SlowTargets, "slow-targets"},
+    {LoadChange::LostTargets, "lost-targets"},
+}};
+
+static constexpr EnumNames<QueuePolicy, 2> QueuePolicyNames{{
+    {QueuePolicy::RefuseNewest, "refuse-newest"},
+    {QueuePolicy::DropOldest, "drop-oldest"},
+}};
+
+std::string_view queuePolicyName(QueuePolicy policy)
+{
+    return nameIn(QueuePolicyNames, policy);
+}
+
+std::string_view loadChangeName(LoadChange change)
+{
+    return nameIn(LoadChangeNames, change);
+}
+
+double LoadResult::latency(double quantile) const
+{
+    if (latencies.empty()) {
+        return 0;
+    }
+    const auto rank = static_cast<std::size_t>(quantile * static_cast<double>(latencies.size() - 1));
+    return latencies[rank];
+}
+
+LoadModel::LoadModel(LoadPlan plan)
+    : m_plan(std::move(plan))
+    , m_random(m_plan.seed)
+    , m_start(std::chrono::hours(1))
+    , m_now(m_start)
+    , m_instances(m_plan.dataCentres.size())
+    , m_idleFlows(m_plan.dataCentres.size())
+{
+    for (std::uint32_t dataCentre = 0; dataCentre < m_plan.dataCentres.size(); ++dataCentre) {
+        for (unsigned number = 0; number < m_plan.dataCentres[dataCentre].targets; ++number) {
+            const auto index = static_cast<std::uint32_t>(m_records.size());
+            TargetRecord record;
+            record.name = "t-" + std::to_string(index);
+            record.identity = {index + 1, 1};
+            record.address = {{0x0a800000 + index}, 8080};
+            record.service = "desk";
+            record.dataCentre = m_plan.dataCentres[dataCentre].name;
+            record.slots = m_plan.slots;
+            record.revision = 1;
+            m_records.push_back(record);
+            m_targetDataCentres.push_back(dataCentre);
+            m_targets.emplace_back(m_plan.slots, m_plan.queue, m_plan.queuePolicy);
+        }
+    }
+    for (std::uint32_t dataCentre = 0; dataCentre < m_plan.dataCentres.size(); ++dataCentre) {
+        addInstances(dataCentre);
+        push(Duration::zero(), EventKind::Call, dataCentre);
+    }
+    push(TickInterval, EventKind::Tick, 0);
+    m_result.seconds.resize(static_cast<std::size_t>(m_plan.length / seconds(1)) + 1);
+}
+
+void LoadModel::addInstances(std::uint32_t dataCentre)
+{
+    std::size_t all = 0;
+    for (const ModelDataCentre &other : m_plan.dataCentres) {
+        all += other.instances;
+    }
+    for (unsigned number = 0; number < m_plan.dataCentres[dataCentre].instances; ++number) {
+        SteeringSettings settings;
+        settings.dataCentre = m_plan.dataCentres[dataCentre].name;
+        settings.loadLimits = m_plan.limits;
+        auto engine = std::make_unique<SteeringEngine>(settings);
+        engine->targets().replaceAll(m_records, 1, m_now);
+        Route route;
+        route.name = "desk";
+        route.address = ServiceAddress;
+        route.kind = RequestKind::Idempotent;
+        route.services = {{"desk", 1}};
+        route.objective = m_plan.objective;
+        engine->routes().adopt(RouteConfiguration{1, IdleLifetime, {route}, {}});
+        engine->noteInstances(m_plan.dataCentres[dataCentre].instances, all);
+        engine->noteCurrent(m_now);
+        m_instances[dataCentre].push_back(std::move(engine));
+    }
+}
+
+void LoadModel::push(Duration after, EventKind kind, std::uint32_t subject)
+{
+    m_events.push({m_now + after, m_order++, kind, subject});
+}
+
+LoadResult LoadModel::run()
+{
+    const TimePoint end = m_start + m_plan.length;
+    while (!m_events.empty() && m_events.top().at < end) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        handle(event);
+    }
+    for (const Call &call : m_calls) {
+        if (!call.isDone) {
+            note(call, &CallCounts::unserved);
+        }
+    }
+    std::sort(m_result.latencies.begin(), m_result.latencies.end());
+    return m_result;
+}
+
+void LoadModel::handle(const Event &event)
+{
+    switch (event.kind) {
+    case EventKind::Call:
+        return beginCall(event.subject);
+    case EventKind::Open:
+        return open(event.subject);
+    case EventKind::Send:
+        return send(event.subject);
+    case EventKind::Arrive:
+        return arrive(event.subject);
+    case EventKind::Finish:
+        return finish(event.subject);
+    case EventKind::Answer:
+        return answer(event.subject);
+    case EventKind::Try:
+        return beginTry(event.subject);
+    case EventKind::Tick:
+        return tick();
+    }
+}
+
+double LoadModel::drawn()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+double LoadModel::factorOf(LoadChange change, std::uint32_t dataCentre) const
+{
+    double factor = 1;
+    for (const LoadEvent &event : m_plan.events) {
+        const bool isHere
+            = event.dataCentre.empty() || event.dataCentre == m_plan.dataCentres[dataCentre].name;
+        const bool isNow = m_now - m_start >= event.at && m_now - m_start < event.at + event.lasting;
+        factor *= event.change == change && isHere && isNow ? event.factor : 1;
+    }
+    return factor;
+}
+
+bool LoadModel::isLost(std::uint32_t target) const
+{
+    const std::uint32_t dataCentre = m_targetDataCentres[target];
+    const double kept = factorOf(LoadChange::LostTargets, dataCentre);
+    // Without such an event the factor is one, and no target is lost.
+    return kept < 1 && static_cast<double>(target % 10) < kept * 10;
+}
+
+Duration LoadModel::wayTo(std::uint32_t target, std::uint32_t dataCentre) const
+{
+    return m_targetDataCentres[target] == dataCentre ? Duration::zero() : m_plan.dataCentreDelay;
+}
+
+void LoadModel::note(const Call &call, std::uint64_t CallCounts::*count)
+{
+    const Duration since = call.startedAt - m_start;
+    ++(m_result.seconds[static_cast<std::size_t>(since / seconds(1))].*count);
+    if (since >= m_plan.measureFrom && since < m_plan.measureTo) {
+        ++(m_result.measured.*count);
+    }
+}
+
+void LoadModel::beginCall(std::uint32_t dataCentre)
+{
+    const double rate
+        = m_plan.dataCentres[dataCentre].callsPerSecond * factorOf(LoadChange::Surge, dataCentre);
+    const std::chrono::duration<double> pause(-std::log(1 - drawn()) / rate);
+    push(std::chrono::duration_cast<Duration>(pause), EventKind::Call, dataCentre);
+    m_calls.push_back({m_now, dataCentre, 0, false});
+    note(m_calls.back(), &CallCounts::offered);
+    beginTry(static_cast<std::uint32_t>(m_calls.size() - 1));
+}
+
+/// Returns an idle flow of the data centre, or a new one; callers try again on a new one.
+std::uint32_t LoadModel::takeFlow(std::uint32_t dataCentre, bool isRetry)
+{
+    std::vector<std::uint32_t> &idle = m_idleFlows[dataCentre];
+    while (!isRetry && !idle.empty() && drawn() >= m_plan.freshShare) {
+        const std::uint32_t number = idle.back();
+        idle.pop_back();
+        if (m_now - m_flows[number].idleSince < IdleLifetime && !isLost(m_flows[number].target)) {
+            return number;
+        }
+    }
+    Flow flow;
+    const auto number = static_cast<std::uint32_t>(m_flows.size());
+    flow.ends = {{{0x64400000 + (number >> 15)}, static_cast<std::uint16_t>(1024 + (number & 0x7fff))},
+        ServiceAddress};
+    flow.dataCentre = dataCentre;
+    flow.instance = static_cast<std::uint32_t>(m_random() % m_instances[dataCentre].size());
+    flow.sequence = FirstSequence;
+    m_flows.push_back(flow);
+    return number;
+}
+
+void LoadModel::beginTry(std::uint32_t call)
+{
+    ++m_calls[call].tries;
+    const std::uint32_t flow = takeFlow(m_calls[call].dataCentre, m_calls[call].tries > 1);
+    m_tries.push_back({call, flow, 0, false});
+    const auto number = static_cast<std::uint32_t>(m_tries.size() - 1);
+    push(m_plan.callerDelay, m_flows[flow].token == NoToken ? EventKind::Open : EventKind::Send, number);
+}
+
+SteeringDecision LoadModel::decide(const Flow &flow, bool isOpening, std::uint32_t copy, std::uint32_t size)
+{
+    PacketSummary packet;
+    packet.flow = flow.ends;
+    packet.token = flow.token;
+    packet.isOpening = isOpening;
+    packet.openingCopy = copy;
+    packet.sequence = flow.sequence;
+    packet.acknowledged = flow.acknowledged;
+    packet.dataSize = size;
+    return m_instances[flow.dataCentre][flow.instance]->decideSummary(packet, m_now);
+}
+
+/// An opening packet, or a copy of it, has arrived at its instance.
+void LoadModel::open(std::uint32_t number)
+{
+    Try &tried = m_tries[number];
+    Flow &flow = m_flows[tried.flow];
+    const SteeringDecision decision = decide(flow, true, tried.copies, 0);
+    if (decision.action == SteeringAction::Reset) {
+        ++m_result.refusedTries;
+        return tryAgain(tried.call);
+    }
+    if (decision.action == SteeringAction::Forward) {
+        const auto target = static_cast<std::uint32_t>(decision.targetId - 1);
+        if (!isLost(target)) {
+            flow.target = target;
+            flow.token = decision.token;
+            flow.acknowledged = FirstSequence;
+            ++flow.sequence;
+            m_result.otherDataCentre += m_targetDataCentres[target] == flow.dataCentre ? 0 : 1;
+            push(2 * (m_plan.callerDelay + wayTo(target, flow.dataCentre)), EventKind::Send, number);
+            return;
+        }
+    }
+    if (tried.copies + 1 == CopyTimes.size()) {
+        return tryAgain(tried.call);
+    }
+    const Duration before = tried.copies == 0 ? Duration::zero() : CopyTimes[tried.copies - 1];
+    push(CopyTimes[tried.copies++] - before, EventKind::Open, number);
+}
+
+/// A request has arrived at its instance.
+void LoadModel::send(std::uint32_t number)
+{
+    Flow &flow = m_flows[m_tries[number].flow];
+    const SteeringDecision decision = decide(flow, false, 0, RequestSize);
+    if (decision.action != SteeringAction::Forward) {
+        return tryAgain(m_tries[number].call);
+    }
+    flow.sequence += RequestSize;
+    push(wayTo(flow.target, flow.dataCentre), EventKind::Arrive, number);
+}
+
+void LoadModel::arrive(std::uint32_t number)
+{
+    const Flow &flow = m_flows[m_tries[number].flow];
+    if (isLost(flow.target)) {
+        return;
+    }
+    const ModelTarget::Arrival arrival = m_targets[flow.target].arrive(number);
+    if (arrival.isStarted) {
+        startWork(number);
+    }
+    if (arrival.shed) {
+        ++m_result.shedTries;
+        Try &shed = m_tries[*arrival.shed];
+        shed.isShed = true;
+        const Duration way = wayTo(flow.target, m_flows[shed.flow].dataCentre);
+        push(m_plan.shedDelay + m_plan.callerDelay + way, EventKind::Answer, *arrival.shed);
+    }
+}
+
+void LoadModel::startWork(std::uint32_t number)
+{
+    const std::uint32_t target = m_flows[m_tries[number].flow].target;
+    const double spread = m_plan.workSpread;
+    std::lognormal_distribution<double> work(-spread * spread / 2, spread);
+    const double factor = factorOf(LoadChange::SlowTargets, m_targetDataCentres[target]);
+    const std::chrono::duration<double> mean = m_plan.work;
+    push(std::chrono::duration_cast<Duration>(mean * work(m_random) * factor), EventKind::Finish, number);
+}
+
+void LoadModel::finish(std::uint32_t number)
+{
+    const Flow &flow = m_flows[m_tries[number].flow];
+    if (const std::optional<std::uint32_t> next = m_targets[flow.target].finish()) {
+        startWork(*next);
+    }
+    if (!isLost(flow.target)) {
+        push(m_plan.callerDelay + wayTo(flow.target, flow.dataCentre), EventKind::Answer, number);
+    }
+}
+
+/// An answer has arrived at its caller, whose acknowledgement goes through the instance.
+void LoadModel::answer(std::uint32_t number)
+{
+    Try &tried = m_tries[number];
+    Flow &flow = m_flows[tried.flow];
+    flow.acknowledged += AnswerSize;
+    static_cast<void>(decide(flow, false, 0, 0)); // an acknowledgement needs no answer
+    flow.idleSince = m_now;
+    m_idleFlows[flow.dataCentre].push_back(tried.flow);
+    if (tried.isShed) {
+        return tryAgain(tried.call);
+    }
+    Call &call = m_calls[tried.call];
+    const Duration taken = m_now - call.startedAt;
+    if (call.isDone || taken > m_plan.deadline) {
+        return;
+    }
+    call.isDone = true;
+    note(call, taken <= m_plan.objective ? &CallCounts::inObjective : &CallCounts::late);
+    const Duration since = call.startedAt - m_start;
+    if (since >= m_plan.measureFrom && since < m_plan.measureTo) {
+        m_result.latencies.push_back(std::chrono::duration<double, std::milli>(taken).count());
+    }
+}
+
+void LoadModel::tryAgain(std::uint32_t call)
+{
+    const bool isOver = m_now - m_calls[call].startedAt + m_plan.retryPause >= m_plan.deadline;
+    if (m_calls[call].tries <= m_plan.retries && !isOver) {
+        push(m_plan.retryPause, EventKind::Try, call);
+    }
+}
+
+void LoadModel::tick()
+{
+    constexpr std::size_t ResetsPerTick = 200;
+    for (const auto &instances : m_instances) {
+        for (const auto &engine : instances) {
+            engine->noteCurrent(m_now);
+            static_cast<void>(engine->sweep(m_now, ResetsPerTick)); // flows at lost targets are not used again
+        }
+    }
+    push(TickInterval, EventKind::Tick, 0);
+}
+
+} // namespace jasminequay
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -180,6 +180,8 @@
 {
     detectPause(now);
     perform(m_fleet.tick(now));
+    m_engine.noteInstances(m_fleet.instancesHere(), m_fleet.members().members().size() + 1);
+    m_loadWatch.look(m_engine, now);
     startProbes(now);
     std::vector<PendingReset> resets = m_engine.sweep(now, ResetsPerTick);
     noteResets(resets, now);
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -63,6 +63,25 @@
     }
 }
 
+static void addLoads(PageBuilder &page, SteeringControl &control, TimePoint now)
+{
+    prometheus::MetricFamily &shares = page.family("answer_objective_share",
+        "How much of their objective answers take, by service and data centre.",
+        prometheus::MetricType::Gauge);
+    prometheus::MetricFamily &overloads = page.family("service_overloaded",
+        "Whether a queue stands at the targets, so that new flows are limited.",
+        prometheus::MetricType::Gauge);
+    for (const auto &[place, load] : control.engine().serviceLoads()) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({"service", place.first});
+        metric.label.push_back({"data_centre", place.second});
+        metric.gauge.value = load.objectiveShare(now);
+        shares.metric.push_back(metric);
+        metric.gauge.value = load.isOverloaded(now) ? 1 : 0;
+        overloads.metric.push_back(metric);
+    }
+}
+
 static void addKnowledge(PageBuilder &page, SteeringControl &control, TimePoint now)
 {
     const FleetControl &fleet = control.fleet();
@@ -103,6 +122,7 @@
     PageBuilder page;
     addPath(page, path);
     addDecisions(page, control.engine().counters());
+    addLoads(page, control, now);
     addTargets(page, control, now);
     addKnowledge(page, control, now);
     addCounters(page, control);
--- a/lib/Steering/routetable.cpp
+++ b/lib/Steering/routetable.cpp
@@ -16,12 +16,23 @@
     m_configuration = std::move(configuration);
     m_byAddress.clear();
     m_byAddress.reserve(m_configuration.routes.size());
+    m_lowestPriorities.clear();
     for (const Route &route : m_configuration.routes) {
         m_byAddress[route.address.packed()] = &route;
+        for (const WeightedService &service : route.services) {
+            std::uint32_t &lowest = m_lowestPriorities[service.service];
+            lowest = std::max(lowest, route.priority);
+        }
     }
     return true;
 }
 
+std::uint32_t RouteTable::lowestPriority(const std::string &service) const
+{
+    const auto found = m_lowestPriorities.find(service);
+    return found == m_lowestPriorities.end() ? 0 : found->second;
+}
+
 const Route *RouteTable::at(Endpoint address) const
 {
     const auto found = m_byAddress.find(address.packed());
--- a/lib/Steering/steeringdecision.cpp
+++ b/lib/Steering/steeringdecision.cpp
@@ -26,6 +26,7 @@
     {SteeringCause::TokenUnknown, "token-unknown"},
     {SteeringCause::OpeningStale, "opening-stale"},
     {SteeringCause::TokenUncertain, "token-uncertain"},
+    {SteeringCause::ServiceFull, "service-full"},
 }};
 
 std::string_view steeringActionName(SteeringAction action)
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -19,6 +19,16 @@
 /// How long an ended flow is remembered for its last packets.
 constexpr Duration EndedLifetime = std::chrono::seconds(4);
 
+/// A target that works moves some flow on within this time; requests at one that does not may hang.
+constexpr Duration ProgressTime = milliseconds(300);
+
+/// What an instance may have under way in another data centre while its own is full, as a multiple of its part of
+/// the slots there.
+constexpr double SpillRoom = 2;
+
+/// A request that is under way for longer is no longer counted: its end was seen by another instance.
+constexpr Duration LongestRequest = std::chrono::seconds(2);
+
 /// Returns how far `later` is ahead of `earlier` modulo 2^32.
 static std::int32_t distance(std::uint32_t earlier, std::uint32_t later)
 {
@@ -107,28 +117,119 @@
     if (target != nullptr && target->openFlows > 0) {
         --target->openFlows;
     }
+    if (target != nullptr && state.isUnderWay) {
+        target->pace.noteEnd();
+    }
+    state.isUnderWay = false;
     state.target = 0;
 }
 
-/// Selects a target and one of its tokens. A target all of whose tokens are shared is passed over.
-KnownTarget *SteeringEngine::place(
-    const Route &route, std::uint64_t flowHash, std::uint64_t avoided, SteeringToken &token, TimePoint now)
+void SteeringEngine::beginRequest(FlowState &state, KnownTarget &target, TimePoint now)
 {
-    ChoiceRequest request{flowHash, avoided, m_settings.dataCentre};
+    state.requestAt = now;
+    if (!state.isUnderWay) {
+        state.isUnderWay = true;
+        target.pace.noteRequest();
+    }
+}
+
+/// Ends the request under way, if there is one, and learns from the time that it took.
+void SteeringEngine::endRequest(
+    const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now)
+{
+    if (!state.isUnderWay) {
+        return;
+    }
+    state.isUnderWay = false;
+    target.pace.noteEnd();
+    const Route *const route = m_routes.at(flow.service);
+    if (route == nullptr || route->objective <= Duration::zero()) {
+        return;
+    }
+    const double share = std::chrono::duration<double>(now - state.requestAt)
+        / std::chrono::duration<double>(route->objective);
+    target.pace.noteAnswer(share, now);
+    ServiceLoad &load
+        = m_loads
+              .try_emplace({target.record.service, target.record.dataCentre}, m_settings.loadLimits)
+              .first->second;
+    if (load.noteAnswer(share, now)) {
+        const RequestsUnderWay here = underWayAt(target.record, now);
+        load.endInterval(here.count, here.slots, now);
+    }
+}
+
+/// Counts the requests at the targets of a service that are in the same data centre as `target`. Those at a
+/// target where nothing moves are left out: they may hang there, and it has no room that they could take up.
+SteeringEngine::RequestsUnderWay SteeringEngine::underWayAt(const TargetRecord &target, TimePoint now)
+{
+    RequestsUnderWay found;
+    for (const KnownTarget *const other : m_targets.ofService(target.service)) {
+        if (other->record.dataCentre != target.dataCentre) {
+            continue;
+        }
+        if (now - other->evidence.progressAt() <= ProgressTime) {
+            found.count += other->pace.underWay();
+        }
+        found.slots += other->record.isDraining ? 0 : other->record.slots;
+    }
+    const std::size_t sharers = target.dataCentre == m_settings.dataCentre ? m_instances : m_allInstances;
+    found.slots = std::max(found.slots / static_cast<double>(sharers), 1.0);
+    return found;
+}
+
+/// Tells whether one more flow may open at a target's service and data centre: one that could only wait
+/// behind others, beyond its objective, is better sent elsewhere, or told so at once. `isSpilled` says that the
+/// own data centre is full; others then take a bounded part of what it cannot.
+bool SteeringEngine::admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now)
+{
+    const auto load = m_loads.find(std::pair(target.service, target.dataCentre));
+    const bool isOverloaded = load != m_loads.end() && load->second.isOverloaded(now);
+    if (!isOverloaded && !isSpilled) {
+        return true;
+    }
+    const RequestsUnderWay here = underWayAt(target, now);
+    const bool isWithinSpill = !isSpilled || here.count < SpillRoom * here.slots;
+    const std::uint32_t levelsAbove = m_routes.lowestPriority(target.service) - route.priority;
+    return isWithinSpill && (!isOverloaded || load->second.admits(here.count, levelsAbove, now));
+}
+
+/// Selects a target and one of its tokens. A target all of whose tokens are shared is passed over, and so are
+/// the targets of a data centre that has no room, as long as another one has good ones.
+SteeringEngine::Placement SteeringEngine::place(
+    const Route &route, const PacketSummary &packet, std::uint64_t avoided, TimePoint now)
+{
+    const std::uint64_t flowHash = packet.flow.hash();
+    const bool isNew = packet.openingCopy == 0;
+    Placement placement;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
-        for (unsigned attempt = 0; attempt < 2; ++attempt) {
-            KnownTarget *const target = chooseTarget(m_targets.ofService(service->service), request, now);
-            if (target == nullptr) {
+        ChoiceRequest request{flowHash, avoided, m_settings.dataCentre, {}};
+        unsigned collisions = 0;
+        while (KnownTarget *const target = chooseTarget(m_targets.ofService(service->service), request, now)) {
+            if (!request.full.empty() && target->evidence.verdict(now) != TargetVerdict::Healthy) {
                 break;
             }
-            token = m_targets.tokenFor(*target, flowHash);
-            if (token != NoToken) {
-                return target;
+            const bool isSpilled = !request.full.empty() && request.full.front() == m_settings.dataCentre;
+            if (isNew && !admits(route, target->record, isSpilled, now)) {
+                request.full.push_back(target->record.dataCentre);
+                continue;
+            }
+            placement.token = m_targets.tokenFor(*target, flowHash);
+            if (placement.token != NoToken) {
+                placement.target = target;
+                return placement;
+            }
+            if (++collisions == 2) {
+                break;
             }
             request.avoided = target->key;
         }
+        if (!request.full.empty()) {
+            placement.isFull = true;
+            return placement;
+        }
     }
-    return nullptr;
+    return placement;
 }
 
 SteeringDecision SteeringEngine::decideOpening(const PacketSummary &packet, TimePoint now)
@@ -152,8 +253,10 @@
         before->evidence.noteUnansweredOpening(now);
         m_targets.watch(*before);
     }
-    SteeringToken token = NoToken;
-    KnownTarget *const target = place(*route, packet.flow.hash(), isCopy ? known->target : 0, token, now);
+    const auto [target, token, isFull] = place(*route, packet, isCopy ? known->target : 0, now);
+    if (isFull) {
+        return refuse(SteeringCause::ServiceFull, 0);
+    }
     if (target == nullptr) {
         return isCurrent(now) ? refuse(SteeringCause::NoTarget, 0) : ignore(SteeringCause::NoTarget);
     }
@@ -269,6 +372,7 @@
         state.progressAt = now;
         state.repeats = 0;
         state.isAwaited = false;
+        endRequest(packet.flow, state, target, now);
     }
     if (isNew || isOpened || isAcknowledging) {
         state.acknowledged = packet.acknowledged;
@@ -279,7 +383,10 @@
         state.sentUpTo = endOf(packet);
         state.sentAt = now;
         state.repeats = 0;
-        state.isAwaited = state.isAwaited || packet.dataSize > 0;
+        if (packet.dataSize > 0 && !state.isAwaited) {
+            state.isAwaited = true;
+            beginRequest(state, target, now);
+        }
     } else if (isNew || isAcknowledging) {
         state.sentAt = now;
     } else if (now - state.sentAt >= ShortestRepeat) {
@@ -318,6 +425,12 @@
         auto &[flow, state] = *position;
         const Duration lifetime = state.stage == FlowStage::Ending ? EndedLifetime : m_settings.flowLifetime;
         bool isErased = now - state.seenAt > lifetime;
+        if (state.isUnderWay && now - state.requestAt > LongestRequest) {
+            state.isUnderWay = false;
+            if (KnownTarget *const target = m_targets.find(state.target)) {
+                target->pace.noteEnd();
+            }
+        }
         const auto found = lost.find(state.target);
         if (found != lost.end() && state.stage != FlowStage::Opening && resets.size() < limit) {
             if (const auto loss = lossOf(*found->second, flow, &state, now)) {
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -7,9 +7,14 @@
 namespace jasminequay
 {
 
-/// How much fuller a target of the own data centre may be than another before the other gets the flow.
+/// How much fuller a target of the own data centre may be than another before the other gets the flow, where
+/// both answer equally soon.
 constexpr double RemoteCost = 8;
 
+/// Targets that answer within this share of their objective are equally good: times of single requests differ
+/// by as much.
+constexpr double QuickShare = 0.3;
+
 /// The share of a cold target's slots that counts.
 constexpr double ColdShare = 0.6;
 
@@ -47,7 +52,10 @@
     const double slots
         = std::max<std::uint32_t>(target.record.slots, 1) * (now < target.warmAt ? ColdShare : 1);
     const double load = (target.openFlows + 1) / slots;
-    return target.record.dataCentre == request.dataCentre ? load : load * RemoteCost;
+    // Squared, so that a data centre whose answers are twice as late as another's spills over to it.
+    const double share = std::max(target.pace.objectiveShare(now), QuickShare) / QuickShare;
+    const double cost = load * share * share;
+    return target.record.dataCentre == request.dataCentre ? cost : cost * RemoteCost;
 }
 
 static std::uint64_t tieBreaker(const KnownTarget &target, std::uint64_t flowHash)
@@ -62,6 +70,10 @@
     std::size_t suspects = 0;
     std::size_t lapsed = 0;
     for (KnownTarget *const target : targets) {
+        if (std::find(request.full.begin(), request.full.end(), target->record.dataCentre)
+            != request.full.end()) {
+            continue;
+        }
         const Standing standing = standingOf(*target, request.avoided, now);
         ranked.emplace_back(standing, target);
         suspects += standing == Standing::Suspect ? 1 : 0;
--- a/unittests/Steering/choicetest.cpp
+++ b/unittests/Steering/choicetest.cpp
@@ -37,7 +37,7 @@
         std::map<std::string, std::uint32_t> placed;
         for (std::uint32_t caller = 0; caller < flows; ++caller) {
             KnownTarget *const chosen
-                = chooseTarget(directory.ofService("desk"), {flowOf(caller).hash(), avoided, "dc-1"}, now);
+                = chooseTarget(directory.ofService("desk"), {flowOf(caller).hash(), avoided, "dc-1", {}}, now);
             if (chosen != nullptr) {
                 ++chosen->openFlows;
                 ++placed[chosen->record.name];
--- /dev/null
+++ b/unittests/Steering/serviceloadtest.cpp
@@ -0,0 +1,234 @@
+// How an instance sees load and limits it; each test names the load that it answers.
+#include "jasminequay/Steering/serviceload.h"
+#include "jasminequay/Steering/targetpace.h"
+#include "steeringfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace jasminequay::steering
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The load of a service as answers show it.
+class Load : public testing::Test
+{
+protected:
+    /// Lets answers come, a hundred a second, that take a share of their objective.
+    void answer(double share, Duration lasting, std::uint32_t underWay)
+    {
+        for (const TimePoint end = now + lasting; now < end; now += milliseconds(10)) {
+            if (load.noteAnswer(share, now)) {
+                load.endInterval(underWay, Slots, now);
+            }
+        }
+    }
+
+    static constexpr double Slots = 4;
+    ServiceLoad load;
+    TimePoint now = Start;
+};
+
+TEST_F(Load, AnswersWellWithinTheirObjectiveLimitNothing)
+{
+    answer(0.3, seconds(5), 20);
+    EXPECT_FALSE(load.isOverloaded(now));
+    EXPECT_TRUE(load.admits(100000, 0, now));
+}
+
+/// Answers a peak of a tenth of a second, as when an instance's neighbour restarts.
+TEST_F(Load, AShortPeakLimitsNothing)
+{
+    answer(0.3, seconds(1), 8);
+    answer(1.5, milliseconds(100), 20);
+    answer(0.3, seconds(1), 8);
+    EXPECT_FALSE(load.isOverloaded(now));
+}
+
+/// Answers a surge: a standing queue in which every caller waits as long as the longest.
+TEST_F(Load, AStandingQueueIsLimitedToWhatIsAnsweredInTime)
+{
+    answer(1.5, milliseconds(400), 30);
+    ASSERT_TRUE(load.isOverloaded(now));
+    EXPECT_LE(load.limit(), 30 * 0.5 / 1.5 + 0.01);
+    EXPECT_FALSE(load.admits(30, 0, now));
+    EXPECT_TRUE(load.admits(3, 0, now));
+}
+
+TEST_F(Load, TheLimitNeverFallsBelowWhatTheTargetsRunAtATime)
+{
+    answer(3, seconds(5), 30);
+    EXPECT_DOUBLE_EQ(load.limit(), Slots);
+}
+
+/// Answers the end of a surge: service is back within a second.
+TEST_F(Load, TheLimitRestsOnceTheLoadHasGone)
+{
+    answer(1.5, seconds(2), 30);
+    ASSERT_TRUE(load.isOverloaded(now));
+    answer(0.25, seconds(1), 2);
+    EXPECT_FALSE(load.isOverloaded(now));
+}
+
+TEST_F(Load, WhatWasLearntIsForgottenWithoutAnswers)
+{
+    answer(1.5, seconds(1), 30);
+    ASSERT_TRUE(load.isOverloaded(now));
+    EXPECT_FALSE(load.isOverloaded(now + seconds(2)));
+    EXPECT_EQ(load.objectiveShare(now + seconds(2)), 0);
+}
+
+TEST_F(Load, HigherPrioritiesHaveRoomAboveLowerOnes)
+{
+    answer(1.5, seconds(1), 40);
+    ASSERT_TRUE(load.isOverloaded(now));
+    const auto full = static_cast<std::uint32_t>(load.limit()) + 1;
+    EXPECT_FALSE(load.admits(full, 0, now));
+    EXPECT_TRUE(load.admits(full, 2, now));
+}
+
+/// Answers full targets that turn requests away at once: quick refusals must not hide the queue.
+TEST_F(Load, QuickRefusalsDoNotHideLateAnswers)
+{
+    for (const TimePoint end = now + seconds(1); now < end; now += milliseconds(10)) {
+        const bool isRefusal = (now - Start) / milliseconds(10) % 3 != 0;
+        if (load.noteAnswer(isRefusal ? 0.02 : 1.2, now)) {
+            load.endInterval(30, Slots, now);
+        }
+    }
+    EXPECT_TRUE(load.isOverloaded(now));
+}
+
+TEST(Pace, ATargetThatWasSlowLooksGoodAgainAfterAWhile)
+{
+    TargetPace pace;
+    TimePoint now = Start;
+    for (int count = 0; count < 20; ++count) {
+        pace.noteAnswer(1.2, now += milliseconds(20));
+    }
+    EXPECT_NEAR(pace.objectiveShare(now), 1.2, 0.1);
+    EXPECT_LT(pace.objectiveShare(now + seconds(4)), 0.15);
+}
+
+TEST(Pace, QuickRefusalsDoNotMakeAFullTargetLookQuick)
+{
+    TargetPace pace;
+    TimePoint now = Start;
+    for (int count = 0; count < 30; ++count) {
+        pace.noteAnswer(count % 2 == 0 ? 1.2 : 0.02, now += milliseconds(20));
+    }
+    EXPECT_GT(pace.objectiveShare(now), 0.9);
+}
+
+/// An instance among targets of two data centres, with an objective.
+class LimitedInstance : public testing::Test
+{
+protected:
+    LimitedInstance()
+        : instance(0)
+    {
+        RouteConfiguration routes = routesOf(2, RequestKind::Idempotent);
+        routes.routes.front().objective = milliseconds(100);
+        instance.engine.routes().adopt(std::move(routes));
+    }
+
+    void addTargets(std::uint32_t first, std::uint32_t count, const std::string &dataCentre)
+    {
+        for (std::uint32_t number = first; number < first + count; ++number) {
+            TargetRecord record = targetOf(number);
+            record.dataCentre = dataCentre;
+            instance.engine.targets().put(record, instance.now);
+        }
+    }
+
+    /// Opens a flow and sends a request on it.
+    SteeringDecision request(std::uint32_t caller)
+    {
+        const SteeringDecision placed = instance.take(openingOf(caller));
+        if (placed.action == SteeringAction::Forward) {
+            instance.take(dataOf(caller, placed.token, 1001, 5000, 100));
+        }
+        return placed;
+    }
+
+    /// Keeps a queue standing: requests that take twice their objective.
+    void overload()
+    {
+        for (std::uint32_t caller = 0; caller < 400; ++caller) {
+            const SteeringDecision placed = request(caller);
+            if (placed.action == SteeringAction::Forward) {
+                m_open.push_back({caller, placed});
+            }
+            instance.now += milliseconds(5);
+            if (m_open.size() > 40) {
+                const auto [done, decision] = m_open.front();
+                m_open.erase(m_open.begin());
+                instance.take(dataOf(done, decision.token, 1101, 6000, 0));
+            }
+            instance.engine.noteCurrent(instance.now);
+        }
+    }
+
+    SteeredInstance instance;
+
+private:
+    std::vector<std::pair<std::uint32_t, SteeringDecision>> m_open;
+};
+
+/// Answers a surge beyond what all targets can do.
+TEST_F(LimitedInstance, AFlowThatCouldOnlyWaitIsRefusedAtOnceAndHasNotRun)
+{
+    addTargets(0, 2, "dc-1");
+    overload();
+    const SteeringDecision refused = instance.take(openingOf(1000));
+    EXPECT_EQ(refused.action, SteeringAction::Reset);
+    EXPECT_EQ(refused.cause, SteeringCause::ServiceFull);
+    EXPECT_EQ(refused.targetId, 0U);
+}
+
+/// Answers a surge in one data centre while another one has room.
+TEST_F(LimitedInstance, AFullDataCentreSpillsOverBeforeAnyoneIsRefused)
+{
+    addTargets(0, 2, "dc-1");
+    overload();
+    addTargets(2, 20, "dc-2");
+    const SteeringDecision placed = instance.take(openingOf(1000));
+    EXPECT_EQ(placed.action, SteeringAction::Forward);
+    EXPECT_GT(placed.targetId, targetOf(1).identity.id);
+}
+
+/// Answers callers whose flows are open when the surge comes: they are never broken off for load.
+TEST_F(LimitedInstance, OpenFlowsGoOnWhileNewOnesAreRefused)
+{
+    addTargets(0, 2, "dc-1");
+    const SteeringDecision before = instance.open(900);
+    overload();
+    EXPECT_EQ(instance.take(dataOf(900, before.token, 1001, 5000, 10)).action, SteeringAction::Forward);
+    EXPECT_TRUE(instance.engine.sweep(instance.now, 100).empty());
+}
+
+/// Answers callers that copy their opening packets while the service is full.
+TEST_F(LimitedInstance, ACopyOfAnAdmittedOpeningIsNotRefused)
+{
+    addTargets(0, 2, "dc-1");
+    request(0);
+    const SteeringDecision first = instance.take(openingOf(901));
+    ASSERT_EQ(first.action, SteeringAction::Forward);
+    overload();
+    EXPECT_EQ(instance.take(openingOf(901, 1)).action, SteeringAction::Forward);
+}
+
+/// Answers targets that died with requests under way: these take up no room.
+TEST_F(LimitedInstance, RequestsThatHangTakeUpNoRoom)
+{
+    addTargets(0, 2, "dc-1");
+    for (std::uint32_t caller = 0; caller < 100; ++caller) {
+        request(caller);
+    }
+    instance.now += seconds(1);
+    instance.engine.noteCurrent(instance.now);
+    EXPECT_EQ(instance.take(openingOf(1000)).action, SteeringAction::Forward);
+}
+
+} // namespace jasminequay::steering
--- a/unittests/Steering/steeringfixture.h
+++ b/unittests/Steering/steeringfixture.h
@@ -104,7 +104,7 @@
 {
     RouteConfiguration configuration;
     configuration.version = version;
-    configuration.routes.push_back({"r", Service, kind, std::chrono::seconds(1), {{"desk", 1}}});
+    configuration.routes.push_back({"r", Service, kind, std::chrono::seconds(1), {{"desk", 1}}, {}, 0});
     return configuration;
 }
 
@@ -113,7 +113,7 @@
 {
 public:
     explicit SteeredInstance(std::uint32_t targets, RequestKind kind = RequestKind::Idempotent)
-        : engine({"dc-1", 4096, std::chrono::seconds(60), std::chrono::milliseconds(1500), {}})
+        : engine({"dc-1", 4096, std::chrono::seconds(60), std::chrono::milliseconds(1500), {}, {}})
     {
         engine.routes().adopt(routesOf(1, kind));
         for (std::uint32_t number = 0; number < targets; ++number) {
