--- a/include/jasminequay/Model/loadmodel.h
+++ b/include/jasminequay/Model/loadmodel.h
@@ -100,7 +100,7 @@
     std::vector<std::uint32_t> m_targetDataCentres;
     std::vector<ModelTarget> m_targets;
     std::vector<std::vector<std::unique_ptr<SteeringEngine>>> m_instances; ///< By data centre.
-    std::vector<std::vector<std::uint32_t>> m_idleFlows; ///< By data centre; the last used one last.
+    std::vector<std::vector<std::uint32_t>> m_idleFlows; ///< By data centre.
     std::vector<Flow> m_flows;
     std::vector<Call> m_calls;
     std::vector<Try> m_tries;
--- a/include/jasminequay/Model/loadplan.h
+++ b/include/jasminequay/Model/loadplan.h
@@ -53,7 +53,8 @@
     unsigned slots = 2; ///< Requests that a target runs at a time.
     unsigned queue = 8; ///< Requests that wait at a target; more are turned away, and have not run.
     QueuePolicy queuePolicy = QueuePolicy::RefuseNewest;
-    Duration shedDelay = std::chrono::milliseconds(110); ///< How long a full target takes to turn a request away.
+    Duration shedDelay
+        = std::chrono::milliseconds(110); ///< How long a full target takes to turn a request away.
     Duration work = std::chrono::milliseconds(32);
     double workSpread = 0.5; ///< The standard deviation of the logarithm.
     Duration objective = std::chrono::milliseconds(150);
--- a/lib/Settings/settingparsers.h
+++ b/include/jasminequay/Settings/settingparsers.h
@@ -1,4 +1,4 @@
-// Parsers of values that several settings files share, private to the Settings library.
+// Parsers of values that several settings files share.
 #pragma once
 
 #include "jasminequay/Support/timepoint.h"
--- a/lib/Settings/yamldocument.h
+++ b/include/jasminequay/Settings/yamldocument.h
@@ -1,4 +1,4 @@
-// Loading of a YAML text into nodes, private to the Settings library.
+// Loading of a YAML text into nodes.
 #pragma once
 
 #include "jasminequay/Settings/mistake.h"
--- a/lib/Settings/yamlmapping.h
+++ b/include/jasminequay/Settings/yamlmapping.h
@@ -1,5 +1,4 @@
-// A checked view of one YAML mapping: duplicates and wrong kinds become mistakes. Private to the Settings
-// library.
+// A checked view of one YAML mapping: duplicates and wrong kinds become mistakes.
 #pragma once
 
 #include "jasminequay/Settings/mistake.h"
--- a/include/jasminequay/Steering/routetable.h
+++ b/include/jasminequay/Steering/routetable.h
@@ -19,7 +19,8 @@
     /// Returns the route of an address; null if there is none.
     [[nodiscard]] const Route *at(Endpoint address) const;
 
-    /// Returns the lowest priority, as a number the highest, of the routes to a service; zero if there is none.
+    /// Returns the lowest priority, as a number the highest, of the routes to a service; zero if there is
+    /// none.
     [[nodiscard]] std::uint32_t lowestPriority(const std::string &service) const;
 
     /// Returns the configuration in force.
--- a/include/jasminequay/Steering/serviceload.h
+++ b/include/jasminequay/Steering/serviceload.h
@@ -15,8 +15,8 @@
     bool isEnabled = true;
     Duration interval = std::chrono::milliseconds(100);
     std::uint32_t leastAnswers = 6; ///< An interval lasts until this many answers have come.
-    /// Answers that take this share of their objective in the mean, in so many intervals in a row, show a queue:
-    /// a shorter peak is over by then.
+    /// Answers that take this share of their objective in the mean, in so many intervals in a row, show a
+    /// queue: a shorter peak is over by then.
     double lateShare = 0.6;
     unsigned lateIntervals = 2;
     /// The share that the limit aims at: the slowest of twenty answers then still meets the objective.
@@ -25,11 +25,12 @@
     double largestRise = 1.2;
     double restingRoom = 1.6; ///< The limit rests once it is this many times what is under way.
     double priorityRoom = 0.25; ///< The room that each level of priority has above the one below it.
-    Duration memory = std::chrono::seconds(1); ///< What was learnt is forgotten after so long without answers.
+    Duration memory
+        = std::chrono::seconds(1); ///< What was learnt is forgotten after so long without answers.
 };
 
-/// The answers of one interval, each as its time divided by its objective. Times count by their own length, so
-/// that quick refusals of a full target do not make the others look quick.
+/// The answers of one interval, each as its time divided by its objective. Times count by their own length,
+/// so that quick refusals of a full target do not make the others look quick.
 struct AnswerTimes {
     double sum = 0; ///< Of the times.
     double sumOfSquares = 0;
@@ -58,8 +59,8 @@
     /// that the targets run at a time.
     void endInterval(std::uint32_t underWay, double slots, TimePoint now);
 
-    /// Tells whether another flow may open. `underWay` is as above; `levelsAbove` counts the priorities of the
-    /// service that are lower than the flow's.
+    /// Tells whether another flow may open. `underWay` is as above; `levelsAbove` counts the priorities of
+    /// the service that are lower than the flow's.
     [[nodiscard]] bool admits(std::uint32_t underWay, std::uint32_t levelsAbove, TimePoint now) const;
 
     /// Tells whether a queue stands at the targets.
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -144,8 +144,7 @@
     void learnFrom(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
     void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
     void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now);
-    [[nodiscard]] bool admits(
-        const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
+    [[nodiscard]] bool admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
     [[nodiscard]] RequestsUnderWay underWayAt(const TargetRecord &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     FlowState &remember(const SteeredFlow &flow);
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -229,8 +229,8 @@
     m_fetchingSince = now;
     m_fetchedMember = member;
     m_isFetchingElsewhere = !isMine(found->second.known.dataCentre);
-    actions.fetch = FetchRequest{
-        found->second.peerControl, m_isLoaded && !m_mustFetchAll ? m_revision : 0, m_engine.routes().configuration().version};
+    actions.fetch = FetchRequest{found->second.peerControl, m_isLoaded && !m_mustFetchAll ? m_revision : 0,
+        m_engine.routes().configuration().version};
 }
 
 bool FleetControl::isBehind(const KnowledgeStanding &standing) const
--- a/lib/Model/loadmodel.cpp
+++ b/lib/Model/loadmodel.cpp
@@ -211,6 +211,7 @@
 {
     std::vector<std::uint32_t> &idle = m_idleFlows[dataCentre];
     while (!isRetry && !idle.empty() && drawn() >= m_plan.freshShare) {
+        std::swap(idle[m_random() % idle.size()], idle.back());
         const std::uint32_t number = idle.back();
         idle.pop_back();
         if (m_now - m_flows[number].idleSince < IdleLifetime && !isLost(m_flows[number].target)) {
@@ -370,7 +371,8 @@
     for (const auto &instances : m_instances) {
         for (const auto &engine : instances) {
             engine->noteCurrent(m_now);
-            static_cast<void>(engine->sweep(m_now, ResetsPerTick)); // flows at lost targets are not used again
+            static_cast<void>(
+                engine->sweep(m_now, ResetsPerTick)); // flows at lost targets are not used again
         }
     }
     push(TickInterval, EventKind::Tick, 0);
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -193,8 +193,8 @@
     const wire::WireStanding &standing = wire.standing();
     news.standing = {standing.loaded(), standing.revision(), standing.routes_version(),
         duration(standing.age_us()), standing.reading()};
-    news.changes = {wire.changes().after(), wire.changes().revision(), wire.changes().complete_at(), targetsFrom(wire.changes().targets()),
-        removalsFrom(wire.changes().removals())};
+    news.changes = {wire.changes().after(), wire.changes().revision(), wire.changes().complete_at(),
+        targetsFrom(wire.changes().targets()), removalsFrom(wire.changes().removals())};
     for (const wire::WireLoss &loss : wire.losses()) {
         if (loss.verdict() > static_cast<std::uint32_t>(TargetVerdict::Dead)) {
             return fail(Step::DecodePeer, peer, "the message names an unknown verdict");
--- a/lib/Settings/instancesettings.cpp
+++ b/lib/Settings/instancesettings.cpp
@@ -1,8 +1,8 @@
 #include "jasminequay/Settings/instancesettings.h"
 
-#include "settingparsers.h"
-#include "yamldocument.h"
-#include "yamlmapping.h"
+#include "jasminequay/Settings/settingparsers.h"
+#include "jasminequay/Settings/yamldocument.h"
+#include "jasminequay/Settings/yamlmapping.h"
 
 #include <algorithm>
 
--- a/lib/Settings/settingparsers.cpp
+++ b/lib/Settings/settingparsers.cpp
@@ -1,4 +1,4 @@
-#include "settingparsers.h"
+#include "jasminequay/Settings/settingparsers.h"
 
 namespace jasminequay
 {
--- a/lib/Settings/treeparser.cpp
+++ b/lib/Settings/treeparser.cpp
@@ -1,10 +1,10 @@
 #include "jasminequay/Settings/treeparser.h"
 
 #include "jasminequay/Settings/settingkey.h"
+#include "jasminequay/Settings/yamldocument.h"
+#include "jasminequay/Settings/yamlmapping.h"
 #include "jasminequay/Support/units.h"
 #include "treecheck.h"
-#include "yamldocument.h"
-#include "yamlmapping.h"
 
 namespace jasminequay
 {
--- a/lib/Settings/yamldocument.cpp
+++ b/lib/Settings/yamldocument.cpp
@@ -1,4 +1,4 @@
-#include "yamldocument.h"
+#include "jasminequay/Settings/yamldocument.h"
 
 #include <algorithm>
 
--- a/lib/Settings/yamlmapping.cpp
+++ b/lib/Settings/yamlmapping.cpp
@@ -1,4 +1,4 @@
-#include "yamlmapping.h"
+#include "jasminequay/Settings/yamlmapping.h"
 
 namespace jasminequay
 {
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -22,8 +22,8 @@
 /// A target that works moves some flow on within this time; requests at one that does not may hang.
 constexpr Duration ProgressTime = milliseconds(300);
 
-/// What an instance may have under way in another data centre while its own is full, as a multiple of its part of
-/// the slots there.
+/// What an instance may have under way in another data centre while its own is full, as a multiple of its
+/// part of the slots there.
 constexpr double SpillRoom = 2;
 
 /// A request that is under way for longer is no longer counted: its end was seen by another instance.
@@ -134,8 +134,7 @@
 }
 
 /// Ends the request under way, if there is one, and learns from the time that it took.
-void SteeringEngine::endRequest(
-    const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now)
+void SteeringEngine::endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now)
 {
     if (!state.isUnderWay) {
         return;
@@ -150,8 +149,7 @@
         / std::chrono::duration<double>(route->objective);
     target.pace.noteAnswer(share, now);
     ServiceLoad &load
-        = m_loads
-              .try_emplace({target.record.service, target.record.dataCentre}, m_settings.loadLimits)
+        = m_loads.try_emplace({target.record.service, target.record.dataCentre}, m_settings.loadLimits)
               .first->second;
     if (load.noteAnswer(share, now)) {
         const RequestsUnderWay here = underWayAt(target.record, now);
@@ -179,8 +177,8 @@
 }
 
 /// Tells whether one more flow may open at a target's service and data centre: one that could only wait
-/// behind others, beyond its objective, is better sent elsewhere, or told so at once. `isSpilled` says that the
-/// own data centre is full; others then take a bounded part of what it cannot.
+/// behind others, beyond its objective, is better sent elsewhere, or told so at once. `isSpilled` says that
+/// the own data centre is full; others then take a bounded part of what it cannot.
 bool SteeringEngine::admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now)
 {
     const auto load = m_loads.find(std::pair(target.service, target.dataCentre));
@@ -205,7 +203,8 @@
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
         ChoiceRequest request{flowHash, avoided, m_settings.dataCentre, {}};
         unsigned collisions = 0;
-        while (KnownTarget *const target = chooseTarget(m_targets.ofService(service->service), request, now)) {
+        while (
+            KnownTarget *const target = chooseTarget(m_targets.ofService(service->service), request, now)) {
             if (!request.full.empty() && target->evidence.verdict(now) != TargetVerdict::Healthy) {
                 break;
             }
--- a/tools/jasminequay/commands.h
+++ b/tools/jasminequay/commands.h
@@ -19,6 +19,7 @@
 ExitCode runCheck(int argumentCount, char **arguments);
 ExitCode runExplain(int argumentCount, char **arguments);
 ExitCode runReport(int argumentCount, char **arguments);
+ExitCode runExperimentCommand(int argumentCount, char **arguments);
 ExitCode runMakeKeys(int argumentCount, char **arguments);
 
 } // namespace jasminequay
--- a/tools/jasminequay/main.cpp
+++ b/tools/jasminequay/main.cpp
@@ -15,7 +15,7 @@
     jasminequay::ExitCode (*run)(int argumentCount, char **arguments);
 };
 
-constexpr std::array<Subcommand, 6> Subcommands{{
+constexpr std::array<Subcommand, 7> Subcommands{{
     {"serve", "run one instance", "jasminequay serve --settings instance.yaml", jasminequay::runServe},
     {"steer", "run one instance that steers by token", "jasminequay steer --settings node.yaml",
         jasminequay::runSteer},
@@ -26,6 +26,8 @@
         jasminequay::runExplain},
     {"report", "report burn or traffic from connection records",
         "jasminequay report burn --tree tree.yaml records/*.log", jasminequay::runReport},
+    {"experiment", "play loads against a model of targets", "jasminequay experiment docs/examples/surge.yaml",
+        jasminequay::runExperimentCommand},
     {"make-keys", "make keys for the settings of an instance", "jasminequay make-keys",
         jasminequay::runMakeKeys},
 }};
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -263,8 +263,7 @@
             member.control->onFetchFailed(now);
             return;
         }
-        const DirectoryImage image
-            = members[fetch.from].control->image(fetch.request, now);
+        const DirectoryImage image = members[fetch.from].control->image(fetch.request, now);
         fetchedTargets += image.update.targets.size();
         fetchedAgain += member.control->isLoaded() ? image.update.targets.size() : 0;
         ++fetchesServed[fetch.from];
--- a/unittests/Fleet/restarttest.cpp
+++ b/unittests/Fleet/restarttest.cpp
@@ -1,5 +1,5 @@
-// What a fleet does after all its instances have ended at once, and how removals reach whoever missed them, with
-// the real decision libraries and injected time.
+// What a fleet does after all its instances have ended at once, and how removals reach whoever missed them,
+// with the real decision libraries and injected time.
 #include "fakecluster.h"
 
 #include <gtest/gtest.h>
@@ -87,12 +87,13 @@
 {
     const std::optional<Duration> taken = restart(milliseconds(1200));
     ASSERT_TRUE(taken);
-    RecordProperty("milliseconds",
-        static_cast<int>(std::chrono::duration_cast<milliseconds>(*taken).count()));
+    RecordProperty(
+        "milliseconds", static_cast<int>(std::chrono::duration_cast<milliseconds>(*taken).count()));
     EXPECT_LE(*taken, seconds(1));
 }
 
-/// Answers a loss of power in a large fleet: instances that had read the store fetched the whole directory again.
+/// Answers a loss of power in a large fleet: instances that had read the store fetched the whole directory
+/// again.
 TEST_P(RestartOfAll, InstancesWhoseStaleReadsDifferFetchWhatChangedOnly)
 {
     ASSERT_TRUE(restart(milliseconds(100)));
@@ -157,8 +158,7 @@
 TEST_F(MissedRemoval, ChangesOfACompleteReadAreNotAppliedInTheMiddle)
 {
     const FleetNews news = newsAfterCompleteRead();
-    static_cast<void>(
-        other.onStoreAnswer(readOf(10, true, {targetAt(1, 5)}), now, now));
+    static_cast<void>(other.onStoreAnswer(readOf(10, true, {targetAt(1, 5)}), now, now));
     static_cast<void>(other.onStoreAnswer(readOf(12, false, {targetAt(2, 12)}), now, now));
     const FleetActions actions = other.onNews(news, now);
     ASSERT_TRUE(actions.fetch) << "what is missing has to be fetched";
--- a/unittests/Steering/choicetest.cpp
+++ b/unittests/Steering/choicetest.cpp
@@ -36,8 +36,8 @@
     {
         std::map<std::string, std::uint32_t> placed;
         for (std::uint32_t caller = 0; caller < flows; ++caller) {
-            KnownTarget *const chosen
-                = chooseTarget(directory.ofService("desk"), {flowOf(caller).hash(), avoided, "dc-1", {}}, now);
+            KnownTarget *const chosen = chooseTarget(
+                directory.ofService("desk"), {flowOf(caller).hash(), avoided, "dc-1", {}}, now);
             if (chosen != nullptr) {
                 ++chosen->openFlows;
                 ++placed[chosen->record.name];
