Test that a port used again forgets the old target

Looked for in the memory of flows: a new opening packet replaces the old flow's target, later packets with the old target's token go to the new one, and the old target's loss resets nothing.

--- a/unittests/Steering/openingordertest.cpp
+++ b/unittests/Steering/openingordertest.cpp
@@ -115,4 +115,39 @@
     }
 }
 
+/// Answers a caller's port that is used again while the old flow is remembered: nothing of the old flow may
+/// lead the new one to the old target.
+TEST(OpeningOrder, AFlowOnAPortUsedAgainForgetsTheOldTarget)
+{
+    SteeredInstance instance(8);
+    const SteeringDecision before = instance.open(1);
+    KnownTarget *const old = instance.engine.targets().withToken(before.token);
+    ASSERT_NE(old, nullptr);
+    old->openFlows += 100; // so that the new flow goes elsewhere
+    const SteeringDecision after = instance.take(openingOf(1), std::chrono::seconds(1));
+    ASSERT_EQ(after.action, SteeringAction::Forward);
+    ASSERT_NE(after.target, before.target);
+    const SteeringDecision opened = instance.take(dataOf(1, after.token, 1001, 9000, 100));
+    EXPECT_EQ(opened.target, after.target);
+    const SteeringDecision late = instance.take(dataOf(1, before.token, 1101, 9500, 100));
+    EXPECT_EQ(late.target, after.target) << "a late answer of the old target changed the token only";
+    EXPECT_EQ(late.targetId, after.targetId);
+}
+
+/// Answers the same while the old target is lost: its resets must not hit the new flow.
+TEST(OpeningOrder, TheLossOfTheOldTargetDoesNotResetAFlowOnAPortUsedAgain)
+{
+    SteeredInstance instance(8);
+    const SteeringDecision before = instance.open(1);
+    KnownTarget *const old = instance.engine.targets().withToken(before.token);
+    ASSERT_NE(old, nullptr);
+    old->openFlows += 100;
+    const SteeringDecision after = instance.take(openingOf(1), std::chrono::seconds(1));
+    ASSERT_NE(after.target, before.target);
+    instance.take(dataOf(1, after.token, 1001, 9000, 100));
+    instance.engine.targets().remove(old->record.name, 9, instance.now);
+    EXPECT_TRUE(instance.engine.sweep(instance.now + std::chrono::seconds(1), 100).empty());
+    EXPECT_TRUE(instance.engine.sweep(instance.now + std::chrono::seconds(3), 100).empty());
+}
+
 } // namespace jasminequay::steering
