--- a/unittests/Steering/serviceloadtest.cpp
+++ b/unittests/Steering/serviceloadtest.cpp
@@ -219,15 +219,30 @@
     EXPECT_EQ(instance.take(openingOf(901, 1)).action, SteeringAction::Forward);
 }
 
-/// Answers targets that died with requests under way: these take up no room.
+/// Answers a target that stops answering with requests under way, while a queue stands at the other one: what
+/// hangs takes up no room.
 TEST_F(LimitedInstance, RequestsThatHangTakeUpNoRoom)
 {
     addTargets(0, 2, "dc-1");
-    for (std::uint32_t caller = 0; caller < 100; ++caller) {
-        request(caller);
+    std::uint32_t sequence = 1101;
+    std::uint32_t acknowledged = 5000;
+    SteeringDecision working;
+    for (std::uint32_t caller = 0; caller < 30; ++caller) {
+        const SteeringDecision placed = request(caller);
+        working = caller == 0 ? placed : working;
+        if (caller > 0 && placed.target == working.target) {
+            instance.take(dataOf(caller, placed.token, 1101, 6000, 0));
+        }
+    }
+    for (unsigned count = 0; count < 30; ++count) {
+        instance.now += milliseconds(80);
+        instance.engine.noteCurrent(instance.now);
+        acknowledged += 1000;
+        instance.take(dataOf(0, working.token, sequence, acknowledged, 100));
+        sequence += 100;
     }
-    instance.now += seconds(1);
-    instance.engine.noteCurrent(instance.now);
+    ASSERT_FALSE(instance.engine.serviceLoads().empty());
+    ASSERT_TRUE(instance.engine.serviceLoads().begin()->second.isOverloaded(instance.now));
     EXPECT_EQ(instance.take(openingOf(1000)).action, SteeringAction::Forward);
 }
 
