Tidy the load model after a second reading

Cause: a declaration without a body (LoadModel::place), the measured span checked in two places, and a share of lost targets named for its opposite. Change: the declaration is gone, isMeasured() serves both places, the share says what it is. No decision of an instance is touched.

--- a/include/jasminequay/Model/loadmodel.h
+++ b/include/jasminequay/Model/loadmodel.h
@@ -77,12 +77,12 @@
     void send(std::uint32_t number);
     void arrive(std::uint32_t number);
     void startWork(std::uint32_t number);
-    void place(Flow &flow, std::uint32_t number, const SteeringDecision &decision);
     void finish(std::uint32_t number);
     void answer(std::uint32_t number);
     void tryAgain(std::uint32_t call);
     void tick();
     SteeringDecision decide(const Flow &flow, bool isOpening, std::uint32_t copy, std::uint32_t size);
+    [[nodiscard]] bool isMeasured(const Call &call) const;
     [[nodiscard]] double factorOf(LoadChange change, std::uint32_t dataCentre) const;
     [[nodiscard]] bool isLost(std::uint32_t target) const;
     [[nodiscard]] Duration wayTo(std::uint32_t target, std::uint32_t dataCentre) const;
--- a/lib/Model/loadmodel.cpp
+++ b/lib/Model/loadmodel.cpp
@@ -176,9 +176,9 @@
 bool LoadModel::isLost(std::uint32_t target) const
 {
     const std::uint32_t dataCentre = m_targetDataCentres[target];
-    const double kept = factorOf(LoadChange::LostTargets, dataCentre);
+    const double lostShare = factorOf(LoadChange::LostTargets, dataCentre);
     // Without such an event the factor is one, and no target is lost.
-    return kept < 1 && static_cast<double>(target % 10) < kept * 10;
+    return lostShare < 1 && static_cast<double>(target % 10) < lostShare * 10;
 }
 
 Duration LoadModel::wayTo(std::uint32_t target, std::uint32_t dataCentre) const
@@ -186,11 +186,17 @@
     return m_targetDataCentres[target] == dataCentre ? Duration::zero() : m_plan.dataCentreDelay;
 }
 
+bool LoadModel::isMeasured(const Call &call) const
+{
+    const Duration since = call.startedAt - m_start;
+    return since >= m_plan.measureFrom && since < m_plan.measureTo;
+}
+
 void LoadModel::note(const Call &call, std::uint64_t CallCounts::*count)
 {
     const Duration since = call.startedAt - m_start;
     ++(m_result.seconds[static_cast<std::size_t>(since / seconds(1))].*count);
-    if (since >= m_plan.measureFrom && since < m_plan.measureTo) {
+    if (isMeasured(call)) {
         ++(m_result.measured.*count);
     }
 }
@@ -351,8 +357,7 @@
     }
     call.isDone = true;
     note(call, taken <= m_plan.objective ? &CallCounts::inObjective : &CallCounts::late);
-    const Duration since = call.startedAt - m_start;
-    if (since >= m_plan.measureFrom && since < m_plan.measureTo) {
+    if (isMeasured(call)) {
         m_result.latencies.push_back(std::chrono::duration<double, std::milli>(taken).count());
     }
 }
