--- a/tools/jasminequay/main.cpp
+++ b/tools/jasminequay/main.cpp
@@ -15,8 +15,12 @@
     jasminequay::ExitCode (*run)(int argumentCount, char **arguments);
 };
 
-constexpr std::array<Subcommand, 7> Subcommands{{
+constexpr auto Subcommands = std::to_array<Subcommand>({
+#ifdef JASMINEQUAY_OWN_FABRIC
     {"serve", "run one instance", "jasminequay serve --settings instance.yaml", jasminequay::runServe},
+    {"make-keys", "make keys for the settings of an instance", "jasminequay make-keys",
+        jasminequay::runMakeKeys},
+#endif
     {"steer", "run one instance that steers by token", "jasminequay steer --settings node.yaml",
         jasminequay::runSteer},
     {"check", "check a tree or instance settings", "jasminequay check --tree tree.yaml",
@@ -28,9 +32,7 @@
         "jasminequay report burn --tree tree.yaml records/*.log", jasminequay::runReport},
     {"experiment", "play loads against a model of targets", "jasminequay experiment docs/examples/surge.yaml",
         jasminequay::runExperimentCommand},
-    {"make-keys", "make keys for the settings of an instance", "jasminequay make-keys",
-        jasminequay::runMakeKeys},
-}};
+});
 
 } // namespace
 
