A target is unreachable only after two silent probes

In each trace one added instance with a narrow link reset all flows of a live target. Its own link had lost callers' packets and then one probe, which counted as proof; in one case four earlier probes of that target had connected, in another the second stalled flow corroborated one that had stalled 2.7 s before and had been idle since. 27 peers probed the same target at that moment and connected.

Change: it takes two probes in a row that time out; the second one starts when the first has ended, so that a real cut is noticed within 50 ms of before. What was seen before a loss expired is forgotten and no longer corroborates.

Ruled out: slow targets (peers' probes of the same moment took 2 ms).

--- a/include/jasminequay/Steering/targetevidence.h
+++ b/include/jasminequay/Steering/targetevidence.h
@@ -30,7 +30,9 @@
 std::string_view targetVerdictName(TargetVerdict verdict);
 
 /// Collects the evidence about one target. No single source is sufficient: a target is lost only if packets
-/// are unanswered, a probe failed too, and no flow has made progress since. Any progress clears all evidence.
+/// are unanswered, probes failed too, and no flow has made progress since. Any progress clears all evidence.
+/// A probe that is not answered may have been lost on this instance's own link, as the callers' packets were,
+/// so it takes another one to show that the target is unreachable.
 class TargetEvidence
 {
 public:
@@ -99,6 +101,7 @@
     {
         return m_silentSince > m_progressAt;
     }
+    void clear();
     void recordSilence(TimePoint now);
 
     TimePoint m_progressAt = TimePoint{};
@@ -109,6 +112,7 @@
     unsigned m_unansweredOpenings = 0;
     bool m_isPeerReported = false;
     Reachability m_reachability = Reachability::Unknown;
+    unsigned m_silentProbes = 0; ///< Probes in a row that nothing answered.
     TimePoint m_probeStartedAt = TimePoint{};
     TimePoint m_probedAt = TimePoint{};
 };
--- a/lib/Steering/targetevidence.cpp
+++ b/lib/Steering/targetevidence.cpp
@@ -21,6 +21,9 @@
 /// so that a lost packet is not sufficient.
 constexpr Duration SilenceBeforeLoss = milliseconds(400);
 
+/// How many probes in a row must have timed out before a target is considered unreachable.
+constexpr unsigned SilentProbesBeforeLoss = 2;
+
 static constexpr EnumNames<Reachability, 4> ReachabilityNames{{
     {Reachability::Unknown, "unknown"},
     {Reachability::Connected, "connected"},
@@ -47,15 +50,24 @@
 
 void TargetEvidence::recordProgress(TimePoint now)
 {
+    clear();
+    m_progressAt = now;
+}
+
+/// Forgets the evidence, but not when the last probe started.
+void TargetEvidence::clear()
+{
+    const TimePoint progressAt = m_progressAt;
     const TimePoint probeStartedAt = m_probeStartedAt;
     *this = TargetEvidence();
+    m_progressAt = progressAt;
     m_probeStartedAt = probeStartedAt;
-    m_progressAt = now;
 }
 
 void TargetEvidence::recordSilence(TimePoint now)
 {
-    if (!isSilent()) {
+    if (hasNoRecentSilence(now)) {
+        clear();
         m_silentSince = now;
     }
     m_lastSilenceAt = now;
@@ -87,6 +99,7 @@
         return;
     }
     m_reachability = outcome;
+    m_silentProbes = outcome == Reachability::Silent ? m_silentProbes + 1 : 0;
     m_probedAt = now;
 }
 
@@ -101,7 +114,9 @@
     if (hasNoRecentSilence(now) || !isUnanswered) {
         return false;
     }
-    return m_probeStartedAt == TimePoint{} || now - m_probeStartedAt >= ProbeInterval;
+    const bool isConfirming
+        = m_silentProbes > 0 && m_silentProbes < SilentProbesBeforeLoss && m_probedAt > m_probeStartedAt;
+    return m_probeStartedAt == TimePoint{} || isConfirming || now - m_probeStartedAt >= ProbeInterval;
 }
 
 TargetVerdict TargetEvidence::verdict(TimePoint now) const
@@ -116,7 +131,7 @@
     const bool isCorroborated = m_stalledFlows >= 2 || m_repeatedlyStalledFlows > 0 || unanswered >= 3
         || (m_isPeerReported && unanswered > 0);
     const bool isLongEnough = now - m_progressAt >= SilenceBeforeLoss;
-    if (m_reachability == Reachability::Silent && isCorroborated && isLongEnough) {
+    if (m_silentProbes >= SilentProbesBeforeLoss && isCorroborated && isLongEnough) {
         return TargetVerdict::Unreachable;
     }
     const bool isFresh = now - m_lastSilenceAt <= SuspicionLifetime;
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -187,6 +187,7 @@
     }
     EXPECT_EQ(instance.target(0).evidence.stalledFlows(), 1U);
     instance.target(0).evidence.recordProbe(Reachability::Silent, instance.now, instance.now);
+    instance.target(0).evidence.recordProbe(Reachability::Silent, instance.now, instance.now);
     EXPECT_EQ(instance.target(0).evidence.verdict(instance.now + seconds(1)), TargetVerdict::Suspect);
 }
 
@@ -203,6 +204,7 @@
     instance.take(dataOf(1, placed.token, 1101, 6200, 0), milliseconds(200));
     EXPECT_EQ(instance.target(0).evidence.stalledFlows(), 1U);
     instance.target(0).evidence.recordProbe(Reachability::Silent, instance.now, instance.now);
+    instance.target(0).evidence.recordProbe(Reachability::Silent, instance.now, instance.now);
     instance.take(dataOf(1, placed.token, 1101, 6200, 0), milliseconds(400));
     ASSERT_EQ(instance.engine.sweep(instance.now, 10).size(), 0U) << "it was reset with its last packet";
     EXPECT_EQ(instance.engine.counters()[static_cast<std::size_t>(SteeringCause::TargetUnreachable)], 1U);
@@ -219,6 +221,7 @@
     instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(200));
     instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(400));
     instance.target(0).evidence.recordProbe(Reachability::Silent, instance.now, instance.now);
+    instance.target(0).evidence.recordProbe(Reachability::Silent, instance.now, instance.now);
     ASSERT_EQ(instance.target(0).evidence.verdict(instance.now), TargetVerdict::Unreachable);
     const std::vector<PendingReset> resets = instance.engine.sweep(instance.now, 100);
     ASSERT_EQ(resets.size(), 1U) << "the idle flow only";
