Opening packets that stay unanswered move new flows away before callers repeat them

Hypothesis: an instance that has just started believes that targets beyond a cut are fast, as it has heard nothing from them, and sends them the excess of its own data centre while the backlog of the outage lasts.

Change: the caller's next packet shows within a round trip that an opening was answered. OpeningWatch keeps, for each target and data centre, the oldest opening without one. A target whose opening is overdue, by four times the usual time of answers as measured here, comes after those without evidence against them.

--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -162,6 +162,7 @@
     FlowMemory m_flows;
     SteeringCounters m_counters{};
     ServiceLoads m_loads;
+    OpeningPatience m_openingPatience;
     std::size_t m_dataCentreInstances = 1;
     std::size_t m_allInstances = 1;
     TimePoint m_currentAt = TimePoint{};
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -17,12 +17,16 @@
     std::string dataCentre; ///< The data centre of this instance.
     std::vector<std::string>
         fullDataCentres; ///< Data centres whose targets are overloaded; they are left out.
+    /// How long an opening packet may go unanswered before its target gets no more of them.
+    Duration openingPatience = std::chrono::milliseconds(100);
+    std::vector<std::string> silentDataCentres; ///< Data centres that may be out of reach.
 };
 
 /// Chooses the target with the fewest flows per slot, weighted by response times, among those that accept new
 /// flows; null if there is none. Targets in the instance's data centre are preferred unless they are much
-/// more loaded. Suspect targets are avoided unless they are the majority of the service. Ties are broken by
-/// rendezvous hashing.
+/// more loaded. Targets that leave an opening packet unanswered, and those of silent data centres, come after
+/// all others without evidence against them. Suspect targets are avoided unless they are the majority of the
+/// service. Ties are broken by rendezvous hashing.
 KnownTarget *chooseTarget(
     const std::vector<KnownTarget *> &targets, const ChoiceRequest &request, TimePoint now);
 
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Steering/directoryupdate.h"
+#include "jasminequay/Steering/openingwatch.h"
 #include "jasminequay/Steering/targetevidence.h"
 #include "jasminequay/Steering/targetpace.h"
 #include "jasminequay/Steering/targetrecord.h"
@@ -37,6 +38,7 @@
     TimePoint warmUpEndsAt; ///< When its slow start ends.
     TargetEvidence evidence;
     TargetPace pace;
+    OpeningWatch openings;
     std::uint32_t openFlows = 0; ///< The flows at this target in the flow table of this instance.
 };
 
@@ -126,6 +128,17 @@
         m_removalsKnownSince = std::max(m_removalsKnownSince, revision);
     }
 
+    /// Returns the watch over the openings of all targets in a data centre.
+    [[nodiscard]] OpeningWatch &openingsOf(const std::string &dataCentre)
+    {
+        return m_openings[dataCentre];
+    }
+
+    /// Returns the data centres other than `own` that may be out of reach: an opening packet waits for the
+    /// first answer from there, or has waited for longer than `patience`.
+    [[nodiscard]] std::vector<std::string> silentDataCentres(
+        const std::string &own, Duration patience, TimePoint now) const;
+
     /// Returns the number of targets that are published now.
     [[nodiscard]] std::size_t listedCount() const;
 
@@ -144,6 +157,7 @@
     std::unordered_map<std::string, std::uint64_t> m_removals; ///< The revision of each removal by name.
     std::uint64_t m_removalsKnownSince = 0;
     std::unordered_map<std::uint64_t, std::uint64_t> m_byAddress; ///< The newest target's key by address.
+    std::unordered_map<std::string, OpeningWatch> m_openings; ///< By data centre.
     std::vector<std::pair<SteeringToken, std::uint64_t>> m_tokens; ///< Sorted, with the key of each target.
     std::unordered_map<std::string, std::vector<KnownTarget *>> m_byService;
     bool m_areIndexesStale = false; ///< Whether m_tokens and m_byService must be rebuilt before a look-up.
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -156,6 +156,8 @@
     state.acknowledged = 0;
     state.retransmissions = 0;
     state.isResponsePending = false;
+    target->openings.recordOpening(now);
+    m_targets.openingsOf(target->record.dataCentre).recordOpening(now);
     return makeForward(*target, token, isMoved ? SteeringCause::PlacedAgain : SteeringCause::Placed);
 }
 
@@ -257,6 +259,11 @@
     const bool isAcknowledging = !isNew && distance(state.acknowledged, packet.acknowledged) > 0;
     if ((wasOpening && !isNew) || isAcknowledging) {
         target.evidence.recordProgress(now);
+        target.openings.recordProgress(now);
+        m_targets.openingsOf(target.record.dataCentre).recordProgress(now);
+        if (wasOpening) {
+            m_openingPatience.recordAnswer(now - state.sentAt);
+        }
         state.progressAt = now;
         state.retransmissions = 0;
         state.isResponsePending = false;
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -84,6 +84,16 @@
     return isWithinSpill && (!isOverloaded || load->second.admits(requests.count, levelsAboveLowest, now));
 }
 
+/// Returns whether there is no sign that a target does not answer. Only such a target gets the flows that
+/// another data centre has no room for.
+static bool isProved(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
+{
+    const auto &silent = request.silentDataCentres;
+    return target.evidence.verdict(now) == TargetVerdict::Healthy
+        && !target.openings.isOverdue(request.openingPatience, now)
+        && std::find(silent.begin(), silent.end(), target.record.dataCentre) == silent.end();
+}
+
 /// Selects a target and one of its tokens. A target is skipped if all its tokens are shared; so are the
 /// targets of an overloaded data centre as long as another one has healthy targets.
 SteeringEngine::Placement SteeringEngine::place(
@@ -91,13 +101,15 @@
 {
     const std::uint64_t flowHash = packet.flow.hash();
     const bool isNew = packet.openingCopy == 0;
+    const Duration patience = m_openingPatience.value();
+    const std::vector<std::string> silent = m_targets.silentDataCentres(m_settings.dataCentre, patience, now);
     Placement placement;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
-        ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}};
+        ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent};
         unsigned collisions = 0;
         while (KnownTarget *const target
             = chooseTarget(m_targets.targetsOfService(service->service), request, now)) {
-            if (!request.fullDataCentres.empty() && target->evidence.verdict(now) != TargetVerdict::Healthy) {
+            if (!request.fullDataCentres.empty() && !isProved(*target, request, now)) {
                 break;
             }
             const bool isSpilled = !request.fullDataCentres.empty()
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -26,9 +26,14 @@
 constexpr double MassLapseShare = 0.34;
 
 /// Ranks targets from the most to the least preferred.
-enum class TargetRank : std::uint8_t { Good, Lapsed, Suspect, Avoided, Lost, Draining };
+enum class TargetRank : std::uint8_t { Good, Lapsed, Unanswered, Suspect, Avoided, Lost, Draining };
 
-static TargetRank rankOf(const KnownTarget &target, std::uint64_t avoidedTarget, TimePoint now)
+static bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+static TargetRank rankOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
     if (target.record.isDraining) {
         return TargetRank::Draining;
@@ -38,13 +43,17 @@
     case TargetVerdict::Unreachable:
         return TargetRank::Lost;
     case TargetVerdict::Suspect:
-        return target.key == avoidedTarget ? TargetRank::Avoided : TargetRank::Suspect;
+        return target.key == request.avoidedTarget ? TargetRank::Avoided : TargetRank::Suspect;
     case TargetVerdict::Healthy:
         break;
     }
-    if (target.key == avoidedTarget) {
+    if (target.key == request.avoidedTarget) {
         return TargetRank::Avoided;
     }
+    if (target.openings.isOverdue(request.openingPatience, now)
+        || contains(request.silentDataCentres, target.record.dataCentre)) {
+        return TargetRank::Unanswered;
+    }
     return target.presence == TargetPresence::Lapsed ? TargetRank::Lapsed : TargetRank::Good;
 }
 
@@ -72,12 +81,10 @@
     std::size_t suspects = 0;
     std::size_t lapsed = 0;
     for (KnownTarget *const target : targets) {
-        if (std::find(
-                request.fullDataCentres.begin(), request.fullDataCentres.end(), target->record.dataCentre)
-            != request.fullDataCentres.end()) {
+        if (contains(request.fullDataCentres, target->record.dataCentre)) {
             continue;
         }
-        const TargetRank rank = rankOf(*target, request.avoidedTarget, now);
+        const TargetRank rank = rankOf(*target, request, now);
         ranked.emplace_back(rank, target);
         suspects += rank == TargetRank::Suspect ? 1 : 0;
         lapsed += rank == TargetRank::Lapsed ? 1 : 0;
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -276,6 +276,18 @@
     return removals;
 }
 
+std::vector<std::string> TargetDirectory::silentDataCentres(
+    const std::string &own, Duration patience, TimePoint now) const
+{
+    std::vector<std::string> silent;
+    for (const auto &[dataCentre, openings] : m_openings) {
+        if (dataCentre != own && (openings.isProbing(now) || openings.isOverdue(patience, now))) {
+            silent.push_back(dataCentre);
+        }
+    }
+    return silent;
+}
+
 std::size_t TargetDirectory::listedCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
--- a/unittests/Steering/choicetest.cpp
+++ b/unittests/Steering/choicetest.cpp
@@ -36,8 +36,8 @@
     {
         std::map<std::string, std::uint32_t> placed;
         for (std::uint32_t caller = 0; caller < flows; ++caller) {
-            KnownTarget *const chosen = chooseTarget(
-                directory.targetsOfService("desk"), {flowOf(caller).hash(), avoidedTarget, "dc-1", {}}, now);
+            KnownTarget *const chosen = chooseTarget(directory.targetsOfService("desk"),
+                {flowOf(caller).hash(), avoidedTarget, "dc-1", {}, milliseconds(100), {}}, now);
             if (chosen != nullptr) {
                 ++chosen->openFlows;
                 ++placed[chosen->record.name];
@@ -116,4 +116,59 @@
     EXPECT_EQ(place(100, target(2).key).count("i-2"), 0U);
 }
 
+/// Guards against sending half a second of new flows to a target that died, until their callers retransmit.
+TEST_F(TargetChoice, ATargetThatLeavesAnOpeningUnansweredGetsNoMore)
+{
+    target(0).openings.recordOpening(now);
+    EXPECT_EQ(place(40).count("i-0"), 1U);
+    now += milliseconds(150);
+    EXPECT_EQ(place(40).count("i-0"), 0U);
+    target(0).openings.recordProgress(now);
+    EXPECT_EQ(place(40).count("i-0"), 1U);
+}
+
+/// Guards against an instance that has just started and believes that targets beyond a cut are fast, as it
+/// has heard nothing from them: one flow at a time finds out.
+TEST_F(TargetChoice, ADataCentreThatNeverAnsweredGetsOneFlowAtATime)
+{
+    constexpr Duration Patience = milliseconds(40);
+    EXPECT_TRUE(directory.silentDataCentres("dc-1", Patience, now).empty());
+    directory.openingsOf("dc-2").recordOpening(now);
+    EXPECT_EQ(directory.silentDataCentres("dc-1", Patience, now), std::vector<std::string>{"dc-2"});
+    EXPECT_TRUE(directory.silentDataCentres("dc-2", Patience, now).empty());
+    now += milliseconds(700);
+    EXPECT_TRUE(directory.silentDataCentres("dc-1", Patience, now).empty());
+    directory.openingsOf("dc-2").recordOpening(now);
+    directory.openingsOf("dc-2").recordProgress(now);
+    EXPECT_TRUE(directory.silentDataCentres("dc-1", Patience, now).empty());
+}
+
+/// Once a data centre has answered, several flows may open there at a time, but not while one of them waits
+/// for longer than answers take.
+TEST_F(TargetChoice, ADataCentreThatStopsAnsweringIsSilentWithinTheUsualTimeOfAnAnswer)
+{
+    constexpr Duration Patience = milliseconds(40);
+    directory.openingsOf("dc-2").recordProgress(now);
+    directory.openingsOf("dc-2").recordOpening(now);
+    now += milliseconds(10);
+    directory.openingsOf("dc-2").recordOpening(now);
+    EXPECT_TRUE(directory.silentDataCentres("dc-1", Patience, now).empty());
+    now += milliseconds(30);
+    EXPECT_EQ(directory.silentDataCentres("dc-1", Patience, now).size(), 1U);
+}
+
+TEST(OpeningPatienceTest, PatienceFollowsTheTimesOfAnswers)
+{
+    OpeningPatience patience;
+    EXPECT_EQ(patience.value(), milliseconds(40));
+    for (int answer = 0; answer < 100; ++answer) {
+        patience.recordAnswer(milliseconds(30));
+    }
+    EXPECT_GE(patience.value(), milliseconds(100));
+    for (int answer = 0; answer < 100; ++answer) {
+        patience.recordAnswer(seconds(5));
+    }
+    EXPECT_LE(patience.value(), milliseconds(200));
+}
+
 } // namespace jasminequay::steering
