An instance that knows nothing repeats its first read beside an unanswered one

Hypothesis: when a fleet restarts while the store is silent, nothing can be served until the first read after the store's return, and each instance waits out the timeout of a read that began before it.

Change: the first read, which may be stale, is repeated each 100 ms beside those that are not answered, four at a time, for two timeouts; the first answer counts.

--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -58,6 +58,8 @@
     std::uint64_t after = 0; ///< The revision after which changes are wanted.
     Duration wait{}; ///< How long the store waits for a change before it answers.
     Duration timeout{}; ///< How long an answer may take beyond `wait`.
+    /// After this time without an answer the read is repeated beside the first one; zero if it is not.
+    Duration repeatAfter{};
 };
 
 /// The number of instances at the head of a data centre's reader order that other data centres notify of
--- a/include/jasminequay/Node/directoryfeed.h
+++ b/include/jasminequay/Node/directoryfeed.h
@@ -14,6 +14,8 @@
 
 #include <concepts>
 #include <functional>
+#include <memory>
+#include <optional>
 
 namespace jasminequay
 {
@@ -37,13 +39,15 @@
     std::function<void(const StoreAnswer &answer, TimePoint startedAt, TimePoint now)> onAnswer;
 };
 
-/// Makes the reads that its owner requests, one at a time.
+/// Makes the reads that its owner requests, one at a time. A read may be repeated while it is not answered;
+/// the first answer counts.
 template <DirectoryStore Store> class DirectoryFeed
 {
 public:
     DirectoryFeed(boost::asio::io_context &context, Store store, FeedHooks hooks)
         : m_store(std::move(store))
         , m_hooks(std::move(hooks))
+        , m_context(context)
         , m_timer(context)
     {
     }
@@ -64,6 +68,26 @@
     /// How often an idle feed polls its owner for the next read.
     static constexpr auto IdlePollInterval = std::chrono::milliseconds(100);
 
+    /// The most reads under way at a time: together they cover the time until the first one times out.
+    static constexpr unsigned MaximumReads = 4;
+
+    /// How long a read is repeated before its owner learns that the store does not answer, in timeouts.
+    static constexpr int MaximumRepeatTime = 2;
+
+    /// Complete reads that run beside each other.
+    struct RepeatedRead {
+        explicit RepeatedRead(boost::asio::io_context &context)
+            : isDecided(context)
+        {
+        }
+
+        std::optional<StoreAnswer> answer; ///< The first answer of the store.
+        StoreAnswer failure; ///< The last failure.
+        unsigned started = 0;
+        unsigned pending = 0;
+        boost::asio::steady_timer isDecided; ///< Cancelled when the store answered or all reads failed.
+    };
+
     boost::asio::awaitable<void> run()
     {
         while (true) {
@@ -77,7 +101,9 @@
             }
             // Not a conditional expression: GCC 12 destroys the operands of one with co_await twice.
             StoreAnswer answer;
-            if (request.isComplete) {
+            if (request.isComplete && request.repeatAfter > Duration::zero()) {
+                answer = co_await readRepeatedly(request);
+            } else if (request.isComplete) {
                 answer = co_await m_store.readAll(request.mayBeStale, request.timeout);
             } else {
                 answer = co_await m_store.watch(request.after, request.wait, request.timeout);
@@ -86,8 +112,43 @@
         }
     }
 
+    boost::asio::awaitable<StoreAnswer> readRepeatedly(StoreReadRequest request)
+    {
+        const auto reads = std::make_shared<RepeatedRead>(m_context);
+        boost::system::error_code ignored; // the timer is cancelled when the reads are decided
+        const TimePoint repeatUntil = bootTime() + MaximumRepeatTime * request.timeout;
+        do {
+            if (reads->pending < MaximumReads) {
+                ++reads->started;
+                ++reads->pending;
+                boost::asio::co_spawn(m_context, readOnce(reads, request), boost::asio::detached);
+            }
+            reads->isDecided.expires_after(request.repeatAfter);
+            co_await reads->isDecided.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        } while (!reads->answer && reads->pending > 0 && bootTime() < repeatUntil);
+        StoreAnswer answer = reads->answer ? *reads->answer : reads->failure;
+        answer.calls += reads->started - 1;
+        co_return answer;
+    }
+
+    boost::asio::awaitable<void> readOnce(std::shared_ptr<RepeatedRead> reads, StoreReadRequest request)
+    {
+        StoreAnswer answer = co_await m_store.readAll(request.mayBeStale, request.timeout);
+        --reads->pending;
+        if (answer.outcome != StoreOutcome::Answered) {
+            reads->failure = std::move(answer);
+        } else if (!reads->answer) {
+            reads->answer = std::move(answer);
+        }
+        if (reads->answer || reads->pending == 0) {
+            reads->isDecided.cancel();
+        }
+    }
+
     Store m_store;
     FeedHooks m_hooks;
+    boost::asio::io_context &m_context;
     boost::asio::steady_timer m_timer;
 };
 
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -13,6 +13,10 @@
 /// The interval of heartbeats of an instance that has no routes and targets yet.
 constexpr Duration LoadingInterval = milliseconds(40);
 
+/// An instance that knows nothing cannot serve, so it does not wait for the timeout of a read that began
+/// while the store did not answer. Many times a usual answer, so that a store that answers is read once.
+constexpr Duration FirstReadRepeatInterval = milliseconds(100);
+
 /// The interval of heartbeats of an instance that started recently, and how long it applies: until all
 /// members know each other.
 constexpr Duration StartupInterval = milliseconds(250);
@@ -79,6 +83,7 @@
     request.after = m_revision;
     request.wait = m_plan.timing().wait;
     request.timeout = m_plan.timing().timeout;
+    request.repeatAfter = request.mayBeStale ? FirstReadRepeatInterval : Duration::zero();
     return request;
 }
 
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -269,6 +269,18 @@
     EXPECT_LT(cluster.store.calls - before, 150U);
 }
 
+/// Only an instance that knows nothing repeats a read that is not answered yet.
+TEST(Fleet, OnlyTheFirstReadIsRepeatedBesideAnUnansweredOne)
+{
+    FakeCluster cluster({6, 2});
+    cluster.run(seconds(2));
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.control->nextRead(cluster.now).repeatAfter, Duration::zero());
+    }
+    cluster.start(0);
+    EXPECT_GT(cluster.members[0].control->nextRead(cluster.now).repeatAfter, Duration::zero());
+}
+
 TEST(Fleet, AFullRestartLoadsAtOnce)
 {
     FakeCluster cluster({75, 5});
