One question for whether a target answers, names of the repeated read

Read as a newcomer: the rule "an opening is overdue there, or its data centre may be out of reach" stood in the choice and in the engine; ChoiceRequest answers it now for both. A number of timeouts was named a time, and the comments of the mean's divisor and of the least patience said too little.

--- a/include/jasminequay/Node/directoryfeed.h
+++ b/include/jasminequay/Node/directoryfeed.h
@@ -71,8 +71,9 @@
     /// The most reads under way at a time: together they cover the time until the first one times out.
     static constexpr unsigned MaximumReads = 4;
 
-    /// How long a read is repeated before its owner learns that the store does not answer, in timeouts.
-    static constexpr int MaximumRepeatTime = 2;
+    /// For how many timeouts of a single read it is repeated before the owner learns that the store does not
+    /// answer.
+    static constexpr int RepeatedTimeouts = 2;
 
     /// Complete reads that run beside each other.
     struct RepeatedRead {
@@ -112,11 +113,13 @@
         }
     }
 
+    /// Repeats a complete read beside those that are not answered yet; returns the first answer, or the last
+    /// failure.
     boost::asio::awaitable<StoreAnswer> readRepeatedly(StoreReadRequest request)
     {
         const auto reads = std::make_shared<RepeatedRead>(m_context);
         boost::system::error_code ignored; // the timer is cancelled when the reads are decided
-        const TimePoint repeatUntil = bootTime() + MaximumRepeatTime * request.timeout;
+        const TimePoint repeatUntil = bootTime() + RepeatedTimeouts * request.timeout;
         do {
             if (reads->pending < MaximumReads) {
                 ++reads->started;
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -20,6 +20,9 @@
     /// How long an opening packet may go unanswered before its target gets no more of them.
     Duration openingPatience = std::chrono::milliseconds(100);
     std::vector<std::string> silentDataCentres; ///< Data centres that may be out of reach.
+
+    /// Returns whether a target leaves opening packets unanswered, or may be out of reach.
+    [[nodiscard]] bool isUnanswering(const KnownTarget &target, TimePoint now) const;
 };
 
 /// Chooses the target with the fewest flows per slot, weighted by response times, among those that accept new
--- a/lib/Steering/openingwatch.cpp
+++ b/lib/Steering/openingwatch.cpp
@@ -14,8 +14,8 @@
 /// Progress shows for this long that there is a path.
 constexpr Duration ProgressLifetime = std::chrono::seconds(2);
 
-/// The least time to wait for an answer: an instance that is short of processor time is later than this only
-/// rarely.
+/// The least time to wait for an answer. An instance that is short of processor time sees answers late, but
+/// rarely by more than this.
 constexpr Duration MinimumPatience = milliseconds(40);
 
 /// Callers retransmit an opening after 200 ms; a longer wait would show nothing earlier.
@@ -24,8 +24,8 @@
 /// The wait for an answer, as a multiple of the mean time of answers.
 constexpr int PatienceFactor = 4;
 
-/// One in this many answers' weight in their mean time.
-constexpr int MeanWeight = 16;
+/// Each answer moves the mean time by this part of its distance from it.
+constexpr int MeanDivisor = 16;
 
 void OpeningWatch::recordOpening(TimePoint now)
 {
@@ -53,7 +53,7 @@
 
 void OpeningPatience::recordAnswer(Duration time)
 {
-    m_meanTime += (std::min<Duration>(time, MaximumPatience) - m_meanTime) / MeanWeight;
+    m_meanTime += (std::min<Duration>(time, MaximumPatience) - m_meanTime) / MeanDivisor;
 }
 
 Duration OpeningPatience::value() const
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -88,10 +88,7 @@
 /// another data centre has no room for.
 static bool isProved(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
-    const auto &silent = request.silentDataCentres;
-    return target.evidence.verdict(now) == TargetVerdict::Healthy
-        && !target.openings.isOverdue(request.openingPatience, now)
-        && std::find(silent.begin(), silent.end(), target.record.dataCentre) == silent.end();
+    return target.evidence.verdict(now) == TargetVerdict::Healthy && !request.isUnanswering(target, now);
 }
 
 /// Selects a target and one of its tokens. A target is skipped if all its tokens are shared; so are the
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -33,6 +33,12 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+bool ChoiceRequest::isUnanswering(const KnownTarget &target, TimePoint now) const
+{
+    return target.openings.isOverdue(openingPatience, now)
+        || contains(silentDataCentres, target.record.dataCentre);
+}
+
 static TargetRank rankOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
     if (target.record.isDraining) {
@@ -50,8 +56,7 @@
     if (target.key == request.avoidedTarget) {
         return TargetRank::Avoided;
     }
-    if (target.openings.isOverdue(request.openingPatience, now)
-        || contains(request.silentDataCentres, target.record.dataCentre)) {
+    if (request.isUnanswering(target, now)) {
         return TargetRank::Unanswered;
     }
     return target.presence == TargetPresence::Lapsed ? TargetRank::Lapsed : TargetRank::Good;
