--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -204,7 +204,7 @@
     world.onReset = [&](const ClientFlow &flow, const Packet &packet, Address from) {
         judgeFlow(world, flow, packet, from);
     };
-    Load load(world, routeAddress(0), 10, 15);
+    Load load(world, routeAddress(0), 20, 10);
     world.runUntil(now() + 8, [&]() { load.tick(); });
     std::size_t stopped = 0;
     double nextStopAt = now();
