--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Versions of a large configuration follow each other quickly; the last one drops a route.
+# The machine that reads the store freezes just after it has got a new version, which drops a route.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 leaves the disruption out.
 # What was sent, answered and run is in record.txt.
 set -u
@@ -7,7 +7,7 @@
 cd "$folder/../.." || exit 2
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-review/build/standin config-storm target/tools/jasminequay/jasminequay "$folder/record.txt" "$temporary" "${TROUBLE:-1}"
+review/build/standin reader-freeze target/tools/jasminequay/jasminequay "$folder/record.txt" "$temporary" "${TROUBLE:-1}"
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
