--- a/benchmarks/steeringbenchmark.cpp
+++ b/benchmarks/steeringbenchmark.cpp
@@ -36,7 +36,7 @@
 
 static void load(SteeringEngine &engine, const DirectoryUpdate &update)
 {
-    engine.routes().replaceAll(*update.routes);
+    engine.replaceRoutes(*update.routes, Start);
     engine.targets().replaceAll(update.targets, update.revision, Start);
     engine.markCurrentAt(Start);
 }
--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -162,7 +162,7 @@
     [[nodiscard]] std::vector<Endpoint> receivers(bool withOtherDataCentres) const;
     void onStatus(const FleetMessage &message, FleetActions &actions, TimePoint now);
     void apply(const DirectoryUpdate &update, TimePoint now);
-    void applyRoutes(const std::optional<RouteConfiguration> &routes, std::uint64_t revision);
+    void applyRoutes(const std::optional<RouteConfiguration> &routes, std::uint64_t revision, TimePoint now);
     [[nodiscard]] bool areTargetsUsable(const FetchResponse &response) const;
     [[nodiscard]] DirectoryChanges changesOf(const DirectoryUpdate &update) const;
     /// Computes the checksum of the targets that are listed here with a revision up to `revision`, without
--- a/include/jasminequay/Steering/route.h
+++ b/include/jasminequay/Steering/route.h
@@ -44,7 +44,8 @@
     std::uint64_t version = 0; ///< Increases with each change; zero before the first one.
     Duration idleTimeout{}; ///< How long a flow without packets is kept; zero if unknown.
     std::vector<Route> routes;
-    std::map<std::string, std::string> healthPaths; ///< The health check path of the targets of each service.
+    /// The services that are declared, with or without a route, and the health check path of their targets.
+    std::map<std::string, std::string> healthPaths;
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/routetable.h
+++ b/include/jasminequay/Steering/routetable.h
@@ -3,7 +3,8 @@
 
 #include "jasminequay/Steering/route.h"
 
-#include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 
 namespace jasminequay
@@ -23,6 +24,12 @@
     /// is no route.
     [[nodiscard]] std::uint32_t lowestPriority(const std::string &service) const;
 
+    /// Returns the services that the configuration names.
+    [[nodiscard]] const std::set<std::string, std::less<>> &services() const
+    {
+        return m_services;
+    }
+
     /// Returns the configuration in force.
     [[nodiscard]] const RouteConfiguration &configuration() const
     {
@@ -33,6 +40,7 @@
     RouteConfiguration m_configuration;
     std::unordered_map<std::uint64_t, const Route *> m_byAddress;
     std::unordered_map<std::string, std::uint32_t> m_lowestPriorities;
+    std::set<std::string, std::less<>> m_services;
 };
 
 /// Returns the services of a route in the order in which a flow should try them. The order is weighted, so
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -103,7 +103,10 @@
         return m_loads;
     }
 
-    [[nodiscard]] RouteTable &routes()
+    /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
+    bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
+
+    [[nodiscard]] const RouteTable &routes() const
     {
         return m_routes;
     }
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -33,6 +33,9 @@
     TargetRecord record;
     std::uint64_t key = 0;
     TargetPresence presence = TargetPresence::Listed;
+    /// Whether a configuration in force has named its service. Until then its entry may be that of another
+    /// writer, and says nothing about other targets.
+    bool isAssigned = false;
     TimePoint presenceSince; ///< When the presence last changed.
     TimePoint drainingSince; ///< When it was first seen draining, if it is draining.
     TimePoint warmUpEndsAt; ///< When its slow start ends.
@@ -57,7 +60,11 @@
 public:
     explicit TargetDirectory(DirectoryTiming timing = {});
 
-    /// Adds or updates a published entry.
+    /// Sets the services that the configuration names. Targets that are already assigned remain so.
+    void setServices(std::set<std::string, std::less<>> services, TimePoint now);
+
+    /// Adds or updates a published entry. An entry of a service that is not named does not affect other
+    /// targets, except that a target whose own entry it replaces is no longer listed.
     void put(const TargetRecord &record, TimePoint now);
 
     /// Records the removal of an entry at store revision `revision`.
@@ -142,16 +149,32 @@
     /// Returns the number of targets that are published now.
     [[nodiscard]] std::size_t listedCount() const;
 
+    /// Returns the number of published entries whose service no configuration in force has named.
+    [[nodiscard]] std::size_t unassignedCount() const;
+
+    /// Returns how many entries were ignored because they claim the identity of a target that is published
+    /// under another name or for another service.
+    [[nodiscard]] std::uint64_t conflictingEntries() const
+    {
+        return m_conflictingEntries;
+    }
+
 private:
     void setPresence(KnownTarget &target, TargetPresence presence, TimePoint now);
     void markGone(KnownTarget &target, TimePoint now);
     void eraseTarget(std::map<std::uint64_t, KnownTarget>::iterator position);
+    void lapse(KnownTarget &target, TimePoint now);
+    [[nodiscard]] bool isOutdated(const TargetRecord &record);
+    [[nodiscard]] bool isConflicting(const TargetRecord &record, bool isNamed);
+    void endPreviousStart(const TargetRecord &record, bool isNamed, TimePoint now);
     void endOthersAtAddress(Endpoint address, std::uint64_t key, TimePoint now);
     void refreshIndexes();
     [[nodiscard]] bool isShared(SteeringToken token) const;
 
     DirectoryTiming m_timing;
+    std::set<std::string, std::less<>> m_services; ///< Those that the configuration names.
     std::map<std::uint64_t, KnownTarget> m_targets;
+    std::uint64_t m_conflictingEntries = 0;
     std::set<std::uint64_t> m_watched;
     std::unordered_map<std::string, std::uint64_t> m_byName; ///< The key of the newest start by name.
     std::unordered_map<std::string, std::uint64_t> m_removals; ///< The revision of each removal by name.
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -164,9 +164,10 @@
 }
 
 /// Takes routes if they are newer than those known here. After that, none newer exist up to a store revision.
-void FleetControl::applyRoutes(const std::optional<RouteConfiguration> &routes, std::uint64_t revision)
+void FleetControl::applyRoutes(
+    const std::optional<RouteConfiguration> &routes, std::uint64_t revision, TimePoint now)
 {
-    if (routes && m_engine.routes().replaceAll(*routes)) {
+    if (routes && m_engine.replaceRoutes(*routes, now)) {
         m_members.setSettingsVersion(routes->version);
     }
     m_routesRevision = std::max(m_routesRevision, revision);
@@ -211,7 +212,7 @@
         m_hasLostHistory = false;
         // After a stale read, the changes since are read at once.
         m_readAt = answer.isStale ? TimePoint{} : now;
-        applyRoutes(answer.update.routes, answer.update.revision);
+        applyRoutes(answer.update.routes, answer.update.revision, now);
         apply(answer.update, now);
         m_plan.noteSuccess(now);
         m_members.setPlatformFailing(false);
@@ -280,7 +281,7 @@
         apply({status.revision, false, std::nullopt, changes.targets, changes.removals, {}}, now);
     }
     if (m_isLoaded && status.routesVersion <= m_engine.routes().configuration().version) {
-        applyRoutes(std::nullopt, status.routesRevision);
+        applyRoutes(std::nullopt, status.routesRevision, now);
     }
     if (isBehind(status)) {
         scheduleFetch(message, actions, now);
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -117,7 +117,7 @@
     }
     const Progress before = progress();
     // Routes have versions of their own, so they are used even if the targets here have become newer.
-    applyRoutes(response.update.routes, response.routesRevision);
+    applyRoutes(response.update.routes, response.routesRevision, now);
     if (areTargetsUsable(response)) {
         apply(response.update, now);
         // A peer of an older version does not state up to which revision it knows the routes.
--- a/lib/Model/loadmodel.cpp
+++ b/lib/Model/loadmodel.cpp
@@ -108,7 +108,7 @@
         route.kind = RequestKind::Idempotent;
         route.services = {{"desk", 1}};
         route.objective = m_plan.objective;
-        engine->routes().replaceAll(RouteConfiguration{1, FlowIdleTimeout, {route}, {}});
+        engine->replaceRoutes(RouteConfiguration{1, FlowIdleTimeout, {route}, {}}, m_now);
         engine->setInstanceCounts(m_plan.dataCentres[dataCentre].instances, totalInstances);
         engine->markCurrentAt(m_now);
         m_instances[dataCentre].push_back(std::move(engine));
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -92,6 +92,12 @@
         static_cast<double>(fleet.revision()));
     page.gauge("routes_revision", "The revision of the store up to which routes are known.",
         static_cast<double>(fleet.routesRevision()));
+    TargetDirectory &targets = control.engine().targets();
+    page.gauge("unassigned_entries", "Published entries of services that the configuration does not name.",
+        static_cast<double>(targets.unassignedCount()));
+    page.counter("conflicting_entries_total",
+        "Entries that were ignored because they claim the identity of another target.",
+        targets.conflictingEntries());
     page.gauge(
         "knowledge_age_seconds", "How long ago routes and targets were proved to be complete.", age.count());
     page.gauge("flows", "Flows that are remembered.", static_cast<double>(control.engine().flows().size()));
--- a/lib/Steering/routetable.cpp
+++ b/lib/Steering/routetable.cpp
@@ -17,11 +17,16 @@
     m_byAddress.clear();
     m_byAddress.reserve(m_configuration.routes.size());
     m_lowestPriorities.clear();
+    m_services.clear();
+    for (const auto &[service, path] : m_configuration.healthPaths) {
+        m_services.insert(service);
+    }
     for (const Route &route : m_configuration.routes) {
         m_byAddress[route.address.packed()] = &route;
         for (const WeightedService &service : route.services) {
             std::uint32_t &lowest = m_lowestPriorities[service.service];
             lowest = std::max(lowest, route.priority);
+            m_services.insert(service.service);
         }
     }
     return true;
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -39,6 +39,15 @@
 {
 }
 
+bool SteeringEngine::replaceRoutes(RouteConfiguration configuration, TimePoint now)
+{
+    if (!m_routes.replaceAll(std::move(configuration))) {
+        return false;
+    }
+    m_targets.setServices(m_routes.services(), now);
+    return true;
+}
+
 void SteeringEngine::markCurrentAt(TimePoint at)
 {
     m_currentAt = std::max(m_currentAt, at);
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -34,23 +34,74 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-void TargetDirectory::put(const TargetRecord &record, TimePoint now)
+void TargetDirectory::setServices(std::set<std::string, std::less<>> services, TimePoint now)
+{
+    m_services = std::move(services);
+    for (auto &[key, target] : m_targets) {
+        if (target.isAssigned || !m_services.contains(target.record.service)) {
+            continue;
+        }
+        target.isAssigned = true;
+        if (target.presence != TargetPresence::Gone) {
+            endOthersAtAddress(target.record.address, key, now);
+        }
+    }
+    m_areIndexesStale = true;
+}
+
+/// Returns whether a newer entry, or the removal of this one, is already known.
+bool TargetDirectory::isOutdated(const TargetRecord &record)
 {
     if (const auto removal = m_removals.find(record.name);
         removal != m_removals.end() && removal->second >= record.revision) {
+        return true;
+    }
+    const auto named = m_byName.find(record.name);
+    const KnownTarget *const newest = named == m_byName.end() ? nullptr : find(named->second);
+    return newest != nullptr && newest->record.revision > record.revision;
+}
+
+/// Returns whether an entry claims the identity of a target that is published under another name or, as far
+/// as the configuration tells, for another service.
+bool TargetDirectory::isConflicting(const TargetRecord &record, bool isNamed)
+{
+    const KnownTarget *const known = find(record.identity.key());
+    if (known == nullptr || !known->isAssigned) {
+        return false;
+    }
+    const bool isOtherService = !isNamed && known->record.service != record.service;
+    return known->record.name != record.name || isOtherService;
+}
+
+/// Ends the previous start of a target that has restarted under the same id: its flows are lost. An entry
+/// whose service is not named proves no restart, but it has replaced the entry of the target.
+void TargetDirectory::endPreviousStart(const TargetRecord &record, bool isNamed, TimePoint now)
+{
+    const auto named = m_byName.find(record.name);
+    KnownTarget *const previous = named == m_byName.end() ? nullptr : find(named->second);
+    if (previous == nullptr || previous->key == record.identity.key()) {
+        return;
+    }
+    if (isNamed || !previous->isAssigned) {
+        markGone(*previous, now);
+    } else {
+        lapse(*previous, now);
+    }
+}
+
+void TargetDirectory::put(const TargetRecord &record, TimePoint now)
+{
+    if (isOutdated(record)) {
         return;
     }
     const std::uint64_t key = record.identity.key();
-    if (const auto named = m_byName.find(record.name); named != m_byName.end()) {
-        KnownTarget *const newest = find(named->second);
-        if (newest != nullptr && newest->record.revision > record.revision) {
-            return;
-        }
-        // The target restarted under the same id: the flows of the previous start are lost.
-        if (newest != nullptr && named->second != key) {
-            markGone(*newest, now);
-        }
+    const bool isNamed = m_services.contains(record.service);
+    if (isConflicting(record, isNamed)) {
+        ++m_conflictingEntries;
+        remove(record.name, record.revision, now);
+        return;
     }
+    endPreviousStart(record, isNamed, now);
     const auto [position, isNew] = m_targets.try_emplace(key);
     KnownTarget &target = position->second;
     const bool isEnded = target.presence == TargetPresence::Gone && record.revision <= target.record.revision;
@@ -61,6 +112,7 @@
     const bool wasDraining = target.record.isDraining;
     target.record = record;
     target.key = key;
+    target.isAssigned = target.isAssigned || isNamed;
     target.warmUpEndsAt = now + record.warmUpLeft;
     if (isNew || target.presence != TargetPresence::Listed) {
         setPresence(target, TargetPresence::Listed, now);
@@ -69,11 +121,14 @@
         target.drainingSince = now;
     }
     m_byName[record.name] = key;
-    endOthersAtAddress(record.address, key, now);
+    if (target.isAssigned) {
+        endOthersAtAddress(record.address, key, now);
+    }
     m_areIndexesStale = true;
 }
 
-/// Ends other targets at an address, as an address belongs to one target at a time.
+/// Ends other targets at an address, as an address belongs to one target at a time. Only for assigned
+/// targets: other entries do not prove who has the address.
 void TargetDirectory::endOthersAtAddress(Endpoint address, std::uint64_t key, TimePoint now)
 {
     const auto [position, isNew] = m_byAddress.try_emplace(address.packed(), key);
@@ -102,6 +157,13 @@
     }
 }
 
+void TargetDirectory::lapse(KnownTarget &target, TimePoint now)
+{
+    if (target.presence == TargetPresence::Listed) {
+        setPresence(target, TargetPresence::Lapsed, now);
+    }
+}
+
 void TargetDirectory::markGone(KnownTarget &target, TimePoint now)
 {
     if (target.presence != TargetPresence::Gone) {
@@ -120,11 +182,9 @@
     }
     std::uint64_t &removal = m_removals[name];
     removal = std::max(removal, revision);
-    if (target == nullptr || target->record.revision > revision
-        || target->presence != TargetPresence::Listed) {
-        return;
+    if (target != nullptr && target->record.revision <= revision) {
+        lapse(*target, now);
     }
-    setPresence(*target, TargetPresence::Lapsed, now);
 }
 
 void TargetDirectory::replaceAll(
@@ -294,4 +354,11 @@
         [](const auto &item) { return item.second.presence == TargetPresence::Listed; }));
 }
 
+std::size_t TargetDirectory::unassignedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [](const auto &item) {
+        return item.second.presence == TargetPresence::Listed && !item.second.isAssigned;
+    }));
+}
+
 } // namespace jasminequay
--- a/tools/jasminequay/explainsteering.cpp
+++ b/tools/jasminequay/explainsteering.cpp
@@ -92,7 +92,7 @@
     BOOST_LEAF_AUTO(known, decodeImage(encodedResponse, source));
     SteeringEngine engine({});
     if (known.update.routes) {
-        engine.routes().replaceAll(*known.update.routes);
+        engine.replaceRoutes(*known.update.routes, Now);
     }
     engine.targets().replaceAll(known.update.targets, known.update.revision, Now);
     for (const TargetRemoval &removal : known.update.removals) {
--- a/unittests/Fleet/fakedirectory.cpp
+++ b/unittests/Fleet/fakedirectory.cpp
@@ -3,11 +3,15 @@
 namespace jasminequay::fleet
 {
 
-std::uint64_t FakeDirectory::changeRoutes()
+std::uint64_t FakeDirectory::changeRoutes(const std::vector<std::string> &services)
 {
     m_routes.version += 3;
-    m_routes.routes = {{"r" + std::to_string(m_routes.version), {{0xc6120001}, 443}, RequestKind::Idempotent,
-        std::chrono::seconds(1), {{"desk", 1}}}};
+    m_routes.routes.clear();
+    for (const std::string &service : services) {
+        const auto number = static_cast<std::uint32_t>(m_routes.routes.size());
+        m_routes.routes.push_back({service + std::to_string(m_routes.version), {{0xc6120001 + number}, 443},
+            RequestKind::Idempotent, std::chrono::seconds(1), {{service, 1}}});
+    }
     m_history.push_back({++m_revision, true, {}});
     return m_routes.version;
 }
--- a/unittests/Fleet/fakedirectory.h
+++ b/unittests/Fleet/fakedirectory.h
@@ -24,8 +24,8 @@
 class FakeDirectory
 {
 public:
-    /// Publishes routes of the next version; returns it.
-    std::uint64_t changeRoutes();
+    /// Publishes routes of the next version, one to each service; returns it.
+    std::uint64_t changeRoutes(const std::vector<std::string> &services = {"desk"});
 
     /// Adds or updates a target.
     void put(TargetRecord record);
--- a/unittests/Steering/directorytest.cpp
+++ b/unittests/Steering/directorytest.cpp
@@ -48,6 +48,7 @@
 TEST(TargetDirectory, ARestartUnderTheSameIdEndsThePreviousTarget)
 {
     TargetDirectory directory;
+    directory.setServices({"desk"}, Start);
     const TargetRecord before = targetOf(0, 1, 100);
     const TargetRecord after = targetOf(0, 2, 200);
     directory.put(before, Start);
@@ -63,6 +64,7 @@
 TEST(TargetDirectory, AReusedAddressEndsItsPreviousTarget)
 {
     TargetDirectory directory;
+    directory.setServices({"desk", "guides"}, Start);
     directory.put(targetOf(0, 1), Start);
     TargetRecord other = targetOf(1, 5);
     other.address = targetOf(0).address;
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -72,7 +72,7 @@
 {
     SteeredInstance instance(3);
     const SteeringDecision placed = instance.open(1);
-    instance.engine.routes().replaceAll(RouteConfiguration{2, {}, {}, {}});
+    instance.engine.replaceRoutes(RouteConfiguration{2, {}, {}, {}}, instance.now);
     const SteeringDecision dropped = instance.take(dataOf(1, placed.token, 1001, 5000, 10));
     EXPECT_EQ(dropped.cause, SteeringCause::RouteDropped);
     EXPECT_EQ(dropped.resetSequence, 5000U);
--- a/unittests/Steering/serviceloadtest.cpp
+++ b/unittests/Steering/serviceloadtest.cpp
@@ -130,7 +130,7 @@
     {
         RouteConfiguration routes = routesOf(2, RequestKind::Idempotent);
         routes.routes.front().objective = milliseconds(100);
-        instance.engine.routes().replaceAll(std::move(routes));
+        instance.engine.replaceRoutes(std::move(routes), instance.now);
     }
 
     void addTargets(std::uint32_t first, std::uint32_t count, const std::string &dataCentre)
--- a/unittests/Steering/steeringfixture.h
+++ b/unittests/Steering/steeringfixture.h
@@ -116,7 +116,7 @@
     explicit SteeredInstance(std::uint32_t targets, RequestKind kind = RequestKind::Idempotent)
         : engine({"dc-1", 4096, std::chrono::seconds(60), std::chrono::milliseconds(1500), {}, {}})
     {
-        engine.routes().replaceAll(routesOf(1, kind));
+        engine.replaceRoutes(routesOf(1, kind), now);
         for (std::uint32_t number = 0; number < targets; ++number) {
             engine.targets().put(targetOf(number), now);
         }
--- a/unittests/UsersPlatform/packetheadtest.cpp
+++ b/unittests/UsersPlatform/packetheadtest.cpp
@@ -95,7 +95,7 @@
     RouteConfiguration routes;
     routes.version = 1;
     routes.routes.push_back({"r", {{0xc6120001}, 443}, RequestKind::Idempotent, {}, {{"desk", 1}}, {}, 0});
-    engine.routes().replaceAll(routes);
+    engine.replaceRoutes(routes, TimePoint(std::chrono::hours(1)));
     for (std::uint64_t id = 1; id < 20; ++id) {
         TargetRecord record;
         record.name = std::to_string(id);
--- a/unittests/UsersPlatform/storerecordstest.cpp
+++ b/unittests/UsersPlatform/storerecordstest.cpp
@@ -80,6 +80,20 @@
     EXPECT_EQ(routes.routes[1].services[0].service, "s2");
 }
 
+/// Guards against treating the targets of a declared service as entries of another writer because the service
+/// declares no health check.
+TEST(StoreRecords, AServiceWithoutAHealthCheckIsDeclared)
+{
+    std::string text = GoodRoutes;
+    const std::string declared = R"({"name":"s1","healthPath":"/healthz"})";
+    text.replace(
+        text.find(declared), declared.size(), R"({"name":"s3"},{"name":"s4","healthPath":7},{"name":5})");
+    const RouteConfiguration routes = *decodeItem(itemOf("op/config", text)).update.routes;
+    EXPECT_EQ(routes.healthPaths.at("s3"), "/");
+    EXPECT_EQ(routes.healthPaths.at("s4"), "/");
+    EXPECT_EQ(routes.healthPaths.size(), 2U);
+}
+
 TEST(StoreRecords, AnUnknownRouteTypeIsNonIdempotent)
 {
     std::string text = GoodRoutes;
