Bound the changes in a message by their size, not by their number

Fault (found while the report of odd entries was looked into; no caller saw it): forty changes with texts of 200 bytes pass the 8,192 bytes that peers take, and they refuse the whole message, as long as the reader repeats the changes.

Change: 4,000 bytes of changes a message, estimated from above; what does not fit is fetched as before.

--- a/lib/Fleet/changehistory.cpp
+++ b/lib/Fleet/changehistory.cpp
@@ -3,13 +3,24 @@
 namespace jasminequay
 {
 
-/// The most entries in one message. At about a hundred bytes each, a message takes at most three packets on
-/// an Ethernet link. Peers that lack more fetch it.
-constexpr std::size_t MaximumEntriesPerMessage = 40;
+/// The most bytes of changes in one message, so that it takes at most three packets on an Ethernet link.
+/// Peers that lack more fetch it.
+constexpr std::size_t MaximumBytesPerMessage = 4000;
 
-static std::size_t entryCount(const DirectoryChanges &changes)
+/// The encoded size of an entry without its texts, in bytes.
+constexpr std::size_t EntryOverhead = 60;
+
+/// Returns about how many bytes the changes take in a message, rather too many than too few.
+static std::size_t messageBytes(const DirectoryChanges &changes)
 {
-    return changes.targets.size() + changes.removals.size();
+    std::size_t bytes = 0;
+    for (const TargetRecord &record : changes.targets) {
+        bytes += EntryOverhead + record.name.size() + record.service.size() + record.dataCentre.size();
+    }
+    for (const TargetRemoval &removal : changes.removals) {
+        bytes += EntryOverhead + removal.name.size();
+    }
+    return bytes;
 }
 
 void ChangeHistory::add(DirectoryChanges changes)
@@ -18,7 +29,7 @@
     if (!isContinued || changes.completeReadRevision > 0) {
         m_changes.clear();
     }
-    const bool isEmpty = entryCount(changes) == 0;
+    const bool isEmpty = changes.targets.empty() && changes.removals.empty();
     if (isEmpty && !m_changes.empty()) {
         m_changes.back().revision = changes.revision;
         return;
@@ -26,10 +37,10 @@
     m_changes.push_back(std::move(changes));
     std::size_t total = 0;
     for (const DirectoryChanges &kept : m_changes) {
-        total += entryCount(kept);
+        total += messageBytes(kept);
     }
-    while (total > MaximumEntriesPerMessage && !m_changes.empty()) {
-        total -= entryCount(m_changes.front());
+    while (total > MaximumBytesPerMessage && !m_changes.empty()) {
+        total -= messageBytes(m_changes.front());
         m_changes.pop_front();
     }
 }
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -1,5 +1,7 @@
 #include "jasminequay/Peer/fleetcodec.h"
 
+#include "jasminequay/Fleet/changehistory.h"
+
 #include <gtest/gtest.h>
 
 #include <random>
@@ -100,6 +102,24 @@
     }
 }
 
+/// Guards against changes that make a message larger than peers take: they would hear nothing of the reader
+/// for as long as it repeats them. What does not fit is fetched.
+TEST(FleetCodec, ChangesOfAnyLengthFitIntoAMessage)
+{
+    for (const std::size_t length : {1U, 30U, 200U, 1000U, 100'000U}) {
+        ChangeHistory history;
+        for (std::uint32_t number = 0; number < 60; ++number) {
+            DirectoryChanges changes{number, number + 1, 0, {sampleTarget(number)}, {}};
+            changes.targets.front().service = std::string(length, 's');
+            changes.removals.push_back({std::string(length, 'n'), number + 1});
+            history.add(changes);
+            FleetMessage news = sampleNews();
+            news.changes = history.all();
+            EXPECT_TRUE(decoded(encodeNews(news))) << length << " bytes, change " << number;
+        }
+    }
+}
+
 TEST(FleetCodec, AnImageSurvivesTheWireAndDamageDoesNot)
 {
     FetchResponse image;
