--- a/include/jasminequay/Support/logevent.h
+++ b/include/jasminequay/Support/logevent.h
@@ -33,7 +33,7 @@
     LogEvent(const LogEvent &) = delete;
     LogEvent &operator=(const LogEvent &) = delete;
 
-    /// Adds a pair with a text value.
+    /// Adds a pair with a text value; only the first part of a very long one is written.
     LogEvent &with(std::string_view key, std::string_view value);
 
     /// Adds a pair with a number.
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -4,7 +4,9 @@
 #include "jasminequay/Support/hash.h"
 #include "wireconversion.h"
 
+#include <algorithm>
 #include <cstring>
+#include <limits>
 
 namespace jasminequay
 {
@@ -30,9 +32,11 @@
     return std::chrono::microseconds(std::min(microseconds, Longest));
 }
 
+/// Returns whole milliseconds, at most what the field holds.
 static std::uint32_t milliseconds(Duration duration)
 {
-    return static_cast<std::uint32_t>(microseconds(duration) / 1000);
+    constexpr std::uint64_t Longest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(microseconds(duration) / 1000, Longest));
 }
 
 static void toWire(const TargetRecord &record, wire::WireTarget &wire)
--- a/lib/Support/logevent.cpp
+++ b/lib/Support/logevent.cpp
@@ -5,6 +5,9 @@
 namespace jasminequay
 {
 
+/// The longest value in a log line, in bytes: texts from outside must not choose the size of a line.
+constexpr std::size_t MaximumValueSize = 1000;
+
 static bool needsQuotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
@@ -71,7 +74,10 @@
     m_line += ' ';
     m_line += key;
     m_line += '=';
-    m_line += quotedValue(value);
+    m_line += quotedValue(value.substr(0, MaximumValueSize));
+    if (value.size() > MaximumValueSize) {
+        m_line += "...";
+    }
     return *this;
 }
 
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -120,6 +120,14 @@
     }
 }
 
+/// Guards against a slow start of any length that peers take for a short one.
+TEST(FleetCodec, DurationsBeyondTheFieldAreCutOff)
+{
+    FleetMessage news = sampleNews();
+    news.changes.targets.front().warmUpLeft = std::chrono::hours(24 * 365);
+    EXPECT_GE(decoded(encodeNews(news))->changes.targets.front().warmUpLeft, std::chrono::hours(24 * 49));
+}
+
 TEST(FleetCodec, AnImageSurvivesTheWireAndDamageDoesNot)
 {
     FetchResponse image;
--- a/unittests/UsersPlatform/steeringnodetest.cpp
+++ b/unittests/UsersPlatform/steeringnodetest.cpp
@@ -74,7 +74,7 @@
             R"({"version":3,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","type":"idempotent",)"
             R"("service":"s"}],"services":[],"limits":{"idleTimeoutMs":15000}})");
         store.put("servers/i-2a",
-            R"({"service":"s","addr":"127.0.0.1:17866","zone":"z","concurrency":2,"state":"ready",)"
+            R"({"service":"s","addr":"127.0.0.1:17866","zone":"z","version":"v1","concurrency":2,"state":"ready",)"
             R"("warmLeftMs":0,"seq":1,"born":5})");
         settings.instance = "fk-1";
         settings.dataCentre = "z";
--- a/unittests/UsersPlatform/storeclienttest.cpp
+++ b/unittests/UsersPlatform/storeclienttest.cpp
@@ -34,7 +34,8 @@
     {
         store.put("servers/i-" + std::to_string(number),
             R"({"service":"s","addr":"10.0.0.)" + std::to_string(number)
-                + R"(:80","zone":"z","concurrency":2,"state":")" + state + R"(","warmLeftMs":0,"seq":1})");
+                + R"(:80","zone":"z","version":"v1","concurrency":2,"state":")" + state
+                + R"(","warmLeftMs":0,"seq":1})");
     }
 
     /// Runs a call until it completes and returns its answer.
@@ -87,6 +88,25 @@
     EXPECT_EQ(changes.update.removals[0].name, "i-1");
 }
 
+/// Guards against losing the other entries, or the following of the store, to one odd entry of another
+/// writer.
+TEST_F(StoreClientTest, OddEntriesHideNoOthers)
+{
+    const std::uint64_t before = complete(client.readAll(false, AmpleTimeout)).update.revision;
+    const std::string nested(500'000, '[');
+    store.put("servers/i-2f", nested);
+    store.put("servers/i-30", R"({"service":"s","addr":"10.0.0.9:70000","zone":"z","concurrency":1e400})");
+    store.put("servers/i-31", std::string(500'000, '\xff'));
+    putTarget(6, "ready");
+    const StoreAnswer changes = complete(client.watch(before, seconds(1), AmpleTimeout));
+    ASSERT_EQ(changes.outcome, StoreOutcome::Answered) << changes.reason;
+    ASSERT_EQ(changes.update.targets.size(), 1U);
+    EXPECT_EQ(changes.update.targets.front().name, "i-6");
+    const StoreAnswer all = complete(client.readAll(false, AmpleTimeout));
+    ASSERT_EQ(all.outcome, StoreOutcome::Answered) << all.reason;
+    EXPECT_EQ(all.update.targets.size(), 6U);
+}
+
 TEST_F(StoreClientTest, AWaitingWatchReturnsAChange)
 {
     const std::uint64_t revision = complete(client.readAll(false, AmpleTimeout)).update.revision;
--- a/unittests/UsersPlatform/storerecordstest.cpp
+++ b/unittests/UsersPlatform/storerecordstest.cpp
@@ -139,6 +139,67 @@
     EXPECT_TRUE(decodeItem(item).update.targets.empty());
 }
 
+/// Returns the entry of a target with one field replaced by another text.
+static std::string targetWith(const std::string &field, const std::string &replacement)
+{
+    std::string text = GoodTarget;
+    return text.replace(text.find(field), field.size(), replacement);
+}
+
+/// Returns a JSON array or object that is nested deeper than any parser's stack bears.
+static std::string deeplyNested(const std::string &open, const std::string &close)
+{
+    constexpr int Levels = 100'000;
+    std::string text;
+    for (int level = 0; level < Levels; ++level) {
+        text += open;
+    }
+    text += "1";
+    for (int level = 0; level < Levels; ++level) {
+        text += close;
+    }
+    return text;
+}
+
+/// Guards against an odd entry of another writer that ends the process, or is taken for a target: deep
+/// nesting, numbers out of range, ports out of range, texts of any length. Operators of similar systems saw
+/// processes end again and again. A reason is short, whatever the entry holds, as it is logged and
+/// remembered.
+TEST(StoreRecords, OddEntriesNameNoTargetAndGetAShortReason)
+{
+    const std::string longText(900'000, 'x');
+    std::vector<std::string> odd{deeplyNested("[", "]"), deeplyNested("{\"a\":", "}"),
+        targetWith("\"v1\"", deeplyNested("[", "]")), targetWith("\"v1\"", deeplyNested("{\"a\":", "}")),
+        targetWith("\"ready\"", "\"" + longText + "\""), targetWith("huvo11a", longText),
+        targetWith("dk-east-a", longText), targetWith("10.128.0.9", longText),
+        targetWith("\"version\":\"v1\",", ""), targetWith("\"v1\"", "1"), targetWith("\"seq\":4,", ""),
+        targetWith("\"seq\":4", "\"seq\":\"4\"")};
+    for (const std::string port : {"0", "65536", "70000", "-1", "4294967376", "99999999999999999999",
+             "8080.0", "0x50", "", " 80", "80 "}) {
+        odd.push_back(targetWith(":8080", ":" + port));
+    }
+    for (const std::string number :
+        {"1e400", "-1e400", "1e99999999999", "99999999999999999999", "1e300", "0.5", "-1", "[]"}) {
+        odd.push_back(targetWith("\"concurrency\":2", "\"concurrency\":" + number));
+        odd.push_back(targetWith("1790000000123", number));
+    }
+    for (const std::string number : {"1e400", "-1e400", "-1", "[]", "\"1\""}) {
+        odd.push_back(targetWith("1500", number));
+    }
+    for (const std::string &text : odd) {
+        const DecodedItem decoded = decodeItem(itemOf("servers/i-7f3a91c2", text));
+        EXPECT_TRUE(decoded.update.targets.empty()) << text.substr(0, 300);
+        EXPECT_EQ(decoded.update.removals.size(), 1U) << text.substr(0, 300);
+        ASSERT_EQ(decoded.bad.size(), 1U) << text.substr(0, 300);
+        EXPECT_LT(decoded.bad.front().size(), 300U) << decoded.bad.front().substr(0, 300);
+    }
+    for (const char *const id :
+        {"i-1ffffffffffffffff", "i-99999999999999999999999999", "i-", "i-0", "/", ""}) {
+        const DecodedItem decoded = decodeItem(itemOf("servers/" + std::string(id), GoodTarget));
+        EXPECT_TRUE(decoded.update.targets.empty()) << id;
+    }
+}
+
 TEST(StoreRecords, AMalformedRouteDoesNotHideTheOthers)
 {
     std::string text = GoodRoutes;
