An answer that brings only routes does not prove the directory beyond its read

Evidence: CurrentDirectory.AnAnswerWithRoutesOnlyProvesNothingAfterItsRead failed before.

Change: an answer with routes has changes.

--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -206,8 +206,8 @@
 {
     switch (answer.outcome) {
     case StoreOutcome::Answered: {
-        const bool hasNoChanges
-            = !answer.update.isComplete && answer.update.targets.empty() && answer.update.removals.empty();
+        const bool hasNoChanges = !answer.update.isComplete && !answer.update.routes
+            && answer.update.targets.empty() && answer.update.removals.empty();
         m_needsCompleteRead = false;
         m_hasLostHistory = false;
         // After a stale read, the changes since are read at once.
