--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -18,6 +18,7 @@
 struct StoreCounters {
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
+    std::uint64_t oversizedAnswers = 0; ///< Answers that were larger than this instance takes.
     std::uint64_t changes = 0; ///< Routes and target entries received.
 };
 
--- a/include/jasminequay/Platform/httpexchange.h
+++ b/include/jasminequay/Platform/httpexchange.h
@@ -22,6 +22,7 @@
     std::map<std::string, std::string> headers; ///< By name in lower case.
     bool isConnected = false; ///< Whether the server took the connection.
     bool isRefused = false; ///< Whether the server's machine refused it, or reset it before an answer.
+    bool isTooLarge = false; ///< Whether it failed because the body exceeds the limit.
     std::optional<Failure> failure;
 };
 
--- a/include/jasminequay/Steering/directoryupdate.h
+++ b/include/jasminequay/Steering/directoryupdate.h
@@ -32,6 +32,7 @@
 enum class StoreOutcome : std::uint8_t {
     Answered,
     HistoryLost, ///< The changes since the given revision are gone: everything must be read again.
+    TooLarge, ///< The answer is larger than this instance takes.
     Refused, ///< The store rejected the call without executing it.
     Failed, ///< There was no answer, or it could not be parsed.
 };
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -224,6 +224,13 @@
         m_engine.markCurrentAt(hasNoChanges && waited <= now ? waited : startedAt);
         return announceChanges(now, true);
     }
+    case StoreOutcome::TooLarge:
+        // A page of a complete read is too large: nothing smaller can be asked for.
+        if (answer.update.isComplete) {
+            break;
+        }
+        // The changes only become more: everything is read instead, in pages.
+        [[fallthrough]];
     case StoreOutcome::HistoryLost:
         m_needsCompleteRead = true;
         m_hasLostHistory = true;
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -91,7 +91,17 @@
 /// Logs when the store starts to fail and when it answers again.
 void SteeringControl::logStoreState(const StoreAnswer &answer)
 {
-    const bool isFailing = answer.outcome == StoreOutcome::Refused || answer.outcome == StoreOutcome::Failed;
+    if (answer.outcome == StoreOutcome::TooLarge) {
+        ++m_storeCounters.oversizedAnswers;
+        LogEvent(Severity::Warning, "store-answer-too-large")
+            .with("store", format(m_settings.store))
+            .with("read", answer.update.isComplete ? "complete" : "changes")
+            .with("revision", m_fleet.revision())
+            .with("reason", answer.reason);
+    }
+    const bool isUnreadable = answer.outcome == StoreOutcome::TooLarge && answer.update.isComplete;
+    const bool isFailing
+        = isUnreadable || answer.outcome == StoreOutcome::Refused || answer.outcome == StoreOutcome::Failed;
     m_storeCounters.failures += isFailing ? 1 : 0;
     if (isFailing == m_isStoreFailing) {
         return;
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -113,6 +113,8 @@
     const StoreCounters &store = control.storeCounters();
     page.counter("store_calls_total", "Calls to the store.", store.calls);
     page.counter("store_failures_total", "Reads of the store that failed.", store.failures);
+    page.counter("store_oversized_answers_total", "Answers of the store that were larger than is taken.",
+        store.oversizedAnswers);
     page.counter("store_changes_total", "Routes and entries of targets that the store sent.", store.changes);
     const PeerCounters &peers = control.peerCounters();
     page.counter("peer_messages_sent_total", "Messages sent to peers.", peers.sent);
--- a/lib/Platform/httpexchange.cpp
+++ b/lib/Platform/httpexchange.cpp
@@ -24,6 +24,7 @@
     HttpAnswer answer;
     const auto failed = [&](const beast::error_code &error) {
         answer.isRefused = error == asio::error::connection_refused || error == asio::error::connection_reset;
+        answer.isTooLarge = error == http::error::body_limit;
         answer.failure = Failure{step, format(server) + path, error.message()};
         return answer;
     };
--- a/lib/Steering/directoryupdate.cpp
+++ b/lib/Steering/directoryupdate.cpp
@@ -5,9 +5,10 @@
 namespace jasminequay
 {
 
-static constexpr EnumNames<StoreOutcome, 4> StoreOutcomeNames{{
+static constexpr EnumNames<StoreOutcome, 5> StoreOutcomeNames{{
     {StoreOutcome::Answered, "answered"},
     {StoreOutcome::HistoryLost, "history-lost"},
+    {StoreOutcome::TooLarge, "too-large"},
     {StoreOutcome::Refused, "refused"},
     {StoreOutcome::Failed, "failed"},
 }};
--- a/unittests/Fleet/fakedirectory.cpp
+++ b/unittests/Fleet/fakedirectory.cpp
@@ -1,5 +1,7 @@
 #include "fakedirectory.h"
 
+#include <algorithm>
+
 namespace jasminequay::fleet
 {
 
@@ -75,6 +77,12 @@
         answer.outcome = StoreOutcome::HistoryLost;
         return answer;
     }
+    const auto versions = std::count_if(m_history.begin(), m_history.end(),
+        [revision](const Change &change) { return change.isRoutes && change.revision > revision; });
+    if (static_cast<std::size_t>(versions) > faults.largestAnswer) {
+        answer.outcome = StoreOutcome::TooLarge;
+        return answer;
+    }
     answer.outcome = StoreOutcome::Answered;
     answer.update.revision = m_revision;
     for (const Change &change : m_history) {
--- a/unittests/Fleet/fakedirectory.h
+++ b/unittests/Fleet/fakedirectory.h
@@ -18,6 +18,8 @@
     std::set<std::size_t> refused; ///< Calls of these instances are refused.
     bool areWatchesSilent = false; ///< Waiting reads that begin while this is set are never answered.
     Duration answerTime = std::chrono::milliseconds(4);
+    /// The most versions of the routes that fit into an answer; more make it larger than a reader takes.
+    std::size_t largestAnswer = 1000;
 };
 
 /// The store: a revision, the routes, the targets and the history of changes.
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -114,6 +114,55 @@
     }
 }
 
+/// Guards against asking again and again for changes that do not fit into an answer: a storm of large
+/// configurations left all instances on an old one until the store forgot its history (docs/incidents/12.md).
+TEST(Fleet, AStormOfVersionsThatDoNotFitIntoAnAnswerIsInForceWithinTheBound)
+{
+    for (int pause = 5; pause <= 100; pause += 15) {
+        FakeCluster cluster({9, 3});
+        cluster.store.faults.largestAnswer = 2;
+        cluster.store.faults.answerTime = milliseconds(60);
+        cluster.run(seconds(8));
+        const std::vector<std::size_t> readers = cluster.readers();
+        for (int version = 0; version < 25; ++version) {
+            cluster.store.changeRoutes();
+            cluster.run(milliseconds(pause));
+        }
+        TargetRecord draining = cluster.store.readAll().update.targets.front();
+        draining.isDraining = true;
+        cluster.store.put(draining);
+        EXPECT_TRUE(cluster.runUntil(
+            [&]() { return cluster.isInForceEverywhere() && cluster.isKnownDraining(draining); }, Bound))
+            << pause;
+        EXPECT_EQ(cluster.readers(), readers) << "the store was taken for down";
+        EXPECT_EQ(cluster.versionRegressions, 0U);
+    }
+}
+
+/// Guards against reading at full speed what can never be read: a complete read of which a page is too large
+/// is a failure like others.
+TEST(Fleet, CallsStayFewWhileACompleteReadIsTooLarge)
+{
+    const TimePoint start(seconds(3600));
+    SteeringEngine engine({});
+    FleetSettings settings;
+    settings.control = {{1}, 8166};
+    settings.dataCentre = "dc-0";
+    FleetControl control(settings, engine, start);
+    StoreAnswer answer;
+    answer.outcome = StoreOutcome::TooLarge;
+    answer.update.isComplete = true;
+    int reads = 0;
+    for (TimePoint now = start; now < start + seconds(5); now += milliseconds(5)) {
+        if (control.nextRead(now).isWanted) {
+            ++reads;
+            control.onStoreAnswer(answer, now, now);
+        }
+    }
+    EXPECT_GE(reads, 4);
+    EXPECT_LE(reads, 15);
+}
+
 TEST(Fleet, ARefusedReaderIsReplacedAtOnce)
 {
     FakeCluster cluster({75, 5});
--- a/unittests/UsersPlatform/storeclienttest.cpp
+++ b/unittests/UsersPlatform/storeclienttest.cpp
@@ -107,6 +107,27 @@
     EXPECT_EQ(all.update.targets.size(), 6U);
 }
 
+/// Guards against taking an answer that is larger than the client takes for a store that is down: the same
+/// changes can be read in pages. Another writer's entries count as well.
+TEST_F(StoreClientTest, AnAnswerThatIsTooLargeIsTold)
+{
+    const std::uint64_t before = complete(client.readAll(false, AmpleTimeout)).update.revision;
+    for (int number = 0; number < 5; ++number) {
+        store.put("zz/" + std::to_string(number), std::string(900'000, 'x'));
+    }
+    putTarget(6, "ready");
+    const StoreAnswer changes = complete(client.watch(before, seconds(1), AmpleTimeout));
+    EXPECT_EQ(changes.outcome, StoreOutcome::TooLarge) << changes.reason;
+    store.pageSize = 2;
+    const StoreAnswer all = complete(client.readAll(false, AmpleTimeout));
+    ASSERT_EQ(all.outcome, StoreOutcome::Answered) << all.reason;
+    EXPECT_EQ(all.update.targets.size(), 6U);
+    store.pageSize = 100;
+    const StoreAnswer page = complete(client.readAll(false, AmpleTimeout));
+    EXPECT_EQ(page.outcome, StoreOutcome::TooLarge);
+    EXPECT_TRUE(page.update.isComplete);
+}
+
 TEST_F(StoreClientTest, AWaitingWatchReturnsAChange)
 {
     const std::uint64_t revision = complete(client.readAll(false, AmpleTimeout)).update.revision;
