--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -34,7 +34,7 @@
     std::uint64_t key = 0;
     TargetPresence presence = TargetPresence::Listed;
     /// Whether a configuration in force has named its service. Until then its entry may be that of another
-    /// writer, and says nothing about other targets.
+    /// program, and says nothing about other targets.
     bool isAssigned = false;
     TimePoint presenceSince; ///< When the presence last changed.
     TimePoint drainingSince; ///< When it was first seen draining, if it is draining.
--- a/test/soak/faultactions.cpp
+++ b/test/soak/faultactions.cpp
@@ -194,12 +194,17 @@
 
 void SoakRun::applyToTarget(const Fault &fault, TimePoint now)
 {
+    const std::size_t place = fault.choice % m_targets.size();
+    RunningTarget &running = m_targets[place];
     if (fault.kind == FaultKind::EntryGarbled) {
-        m_publication.putGarbage(fault.choice);
+        // Another digit of the choice than those that select the entry and the target.
+        if (running.target && fault.choice / 1024 % 2 == 0) {
+            m_publication.putForeignEntry(running.target->address(), fault.choice);
+        } else {
+            m_publication.putGarbage(fault.choice);
+        }
         return;
     }
-    const std::size_t place = fault.choice % m_targets.size();
-    RunningTarget &running = m_targets[place];
     const auto others
         = std::count_if(m_targets.begin(), m_targets.end(), [&running](const RunningTarget &other) {
               return other.target && other.endsAt == TimePoint{}
--- a/test/soak/publication.cpp
+++ b/test/soak/publication.cpp
@@ -80,6 +80,14 @@
     m_store.put("servers/i-" + std::to_string(9000 + choice % 5), garbage[choice % garbage.size()]);
 }
 
+void Publication::putForeignEntry(Endpoint address, std::uint64_t choice)
+{
+    m_store.put("servers/x-" + std::to_string(9000 + choice % 5),
+        json::serialize(json::object{{"service", "asset-inventory"}, {"addr", format(address)},
+            {"zone", "z1"}, {"version", "1"}, {"concurrency", 2}, {"state", "ready"}, {"warmLeftMs", 0},
+            {"seq", 1}, {"born", choice % 1000}}));
+}
+
 std::vector<Endpoint> Publication::settledRoutes(TimePoint now) const
 {
     std::vector<Endpoint> settled;
--- a/test/soak/publication.h
+++ b/test/soak/publication.h
@@ -44,6 +44,9 @@
     /// Writes an entry that names no target.
     void putGarbage(std::uint64_t choice);
 
+    /// Writes a well-formed entry of a service that no route names, with the address of a target.
+    void putForeignEntry(Endpoint address, std::uint64_t choice);
+
     /// Returns the published routes that everybody must know by now.
     [[nodiscard]] std::vector<Endpoint> settledRoutes(TimePoint now) const;
 
--- a/unittests/Fleet/fleettest.cpp
+++ b/unittests/Fleet/fleettest.cpp
@@ -114,9 +114,9 @@
     }
 }
 
-/// Guards against asking again and again for changes that do not fit into an answer: a storm of large
+/// Guards against asking again and again for changes that do not fit into an answer: a burst of large
 /// configurations left all instances on an old one until the store forgot its history (docs/incidents/12.md).
-TEST(Fleet, AStormOfVersionsThatDoNotFitIntoAnAnswerIsInForceWithinTheBound)
+TEST(Fleet, VersionsThatDoNotFitIntoAnAnswerTogetherAreInForceWithinTheBound)
 {
     for (int pause = 5; pause <= 100; pause += 15) {
         FakeCluster cluster({9, 3});
--- a/unittests/Fleet/foreignentrytest.cpp
+++ b/unittests/Fleet/foreignentrytest.cpp
@@ -1,4 +1,4 @@
-// Entries of other writers among those of the targets, at a fleet whose instances learn them in different
+// Entries of other programs among those of the targets, at a fleet whose instances learn them in different
 // ways: from the store's changes, from complete reads and from peers.
 #include "fakecluster.h"
 
@@ -33,7 +33,7 @@
         }));
 }
 
-/// Guards against an entry of another writer that ends a living target on one of the ways by which instances
+/// Guards against an entry of another program that ends a living target on one of the ways by which instances
 /// learn of it (docs/incidents/9.md).
 TEST(ForeignEntries, EndNoTargetHoweverTheyAreLearnt)
 {
--- a/unittests/Steering/foreignentrytest.cpp
+++ b/unittests/Steering/foreignentrytest.cpp
@@ -1,4 +1,4 @@
-// Entries that other writers leave among those of the targets. They name no target to use, so they must not
+// Entries that other programs leave among those of the targets. They name no target to use, so they must not
 // affect the targets that live.
 #include "steeringfixture.h"
 
@@ -55,8 +55,8 @@
     SteeringDecision placed;
 };
 
-/// Guards against resetting the flows of a living target because another writer's entry has its address. This
-/// failed in docs/incidents/9.md.
+/// Guards against resetting the flows of a living target because another program's entry has its address.
+/// This failed in docs/incidents/9.md.
 TEST_F(ForeignEntry, WithTheAddressOfATargetDoesNotEndIt)
 {
     put(foreignEntryAt(targetOf(0), 50));
@@ -79,8 +79,8 @@
     EXPECT_EQ(instance.target(0).presence, TargetPresence::Listed);
 }
 
-/// Guards against taking an entry that another writer left under a target's name for a restart of the target.
-/// The target's entry has been replaced, so it counts as missing until the target writes it again.
+/// Guards against taking an entry that another program left under a target's name for a restart of the
+/// target. The target's entry has been replaced, so it counts as missing until the target writes it again.
 TEST_F(ForeignEntry, UnderTheNameOfATargetCountsAsAMissingEntry)
 {
     std::uint64_t revision = 50;
--- a/unittests/Support/supporttest.cpp
+++ b/unittests/Support/supporttest.cpp
@@ -94,7 +94,7 @@
 {
     std::string line;
     setLogSink([&](Severity, std::string_view, const std::string &pairs) { line = pairs; });
-    LogEvent(Severity::Info, "odd").with("text", std::string(1'000'000, 'x')).with("next", 1);
+    LogEvent(Severity::Info, "long").with("text", std::string(1'000'000, 'x')).with("next", 1);
     setLogSink({});
     EXPECT_LT(line.size(), 2000U);
     EXPECT_NE(line.find("x... next=1"), std::string::npos);
--- a/unittests/UsersPlatform/storeclienttest.cpp
+++ b/unittests/UsersPlatform/storeclienttest.cpp
@@ -88,9 +88,9 @@
     EXPECT_EQ(changes.update.removals[0].name, "i-1");
 }
 
-/// Guards against losing the other entries, or the following of the store, to one odd entry of another
-/// writer.
-TEST_F(StoreClientTest, OddEntriesHideNoOthers)
+/// Guards against losing the other entries, or the following of the store, to one extreme entry of another
+/// program.
+TEST_F(StoreClientTest, ExtremeEntriesHideNoOthers)
 {
     const std::uint64_t before = complete(client.readAll(false, AmpleTimeout)).update.revision;
     const std::string nested(500'000, '[');
@@ -108,7 +108,7 @@
 }
 
 /// Guards against taking an answer that is larger than the client takes for a store that is down: the same
-/// changes can be read in pages. Another writer's entries count as well.
+/// changes can be read in pages. Another program's entries count as well.
 TEST_F(StoreClientTest, AnAnswerThatIsTooLargeIsTold)
 {
     const std::uint64_t before = complete(client.readAll(false, AmpleTimeout)).update.revision;
--- a/unittests/UsersPlatform/storerecordstest.cpp
+++ b/unittests/UsersPlatform/storerecordstest.cpp
@@ -80,8 +80,8 @@
     EXPECT_EQ(routes.routes[1].services[0].service, "s2");
 }
 
-/// Guards against treating the targets of a declared service as entries of another writer because the service
-/// declares no health check.
+/// Guards against treating the targets of a declared service as entries of another program because the
+/// service declares no health check.
 TEST(StoreRecords, AServiceWithoutAHealthCheckIsDeclared)
 {
     std::string text = GoodRoutes;
@@ -161,14 +161,14 @@
     return text;
 }
 
-/// Guards against an odd entry of another writer that ends the process, or is taken for a target: deep
+/// Guards against an extreme entry of another program that ends the process, or is taken for a target: deep
 /// nesting, numbers out of range, ports out of range, texts of any length. Operators of similar systems saw
 /// processes end again and again. A reason is short, whatever the entry holds, as it is logged and
 /// remembered.
-TEST(StoreRecords, OddEntriesNameNoTargetAndGetAShortReason)
+TEST(StoreRecords, ExtremeEntriesNameNoTargetAndGetAShortReason)
 {
     const std::string longText(900'000, 'x');
-    std::vector<std::string> odd{deeplyNested("[", "]"), deeplyNested("{\"a\":", "}"),
+    std::vector<std::string> extreme{deeplyNested("[", "]"), deeplyNested("{\"a\":", "}"),
         targetWith("\"v1\"", deeplyNested("[", "]")), targetWith("\"v1\"", deeplyNested("{\"a\":", "}")),
         targetWith("\"ready\"", "\"" + longText + "\""), targetWith("huvo11a", longText),
         targetWith("dk-east-a", longText), targetWith("10.128.0.9", longText),
@@ -176,17 +176,17 @@
         targetWith("\"seq\":4", "\"seq\":\"4\"")};
     for (const std::string port : {"0", "65536", "70000", "-1", "4294967376", "99999999999999999999",
              "8080.0", "0x50", "", " 80", "80 "}) {
-        odd.push_back(targetWith(":8080", ":" + port));
+        extreme.push_back(targetWith(":8080", ":" + port));
     }
     for (const std::string number :
         {"1e400", "-1e400", "1e99999999999", "99999999999999999999", "1e300", "0.5", "-1", "[]"}) {
-        odd.push_back(targetWith("\"concurrency\":2", "\"concurrency\":" + number));
-        odd.push_back(targetWith("1790000000123", number));
+        extreme.push_back(targetWith("\"concurrency\":2", "\"concurrency\":" + number));
+        extreme.push_back(targetWith("1790000000123", number));
     }
     for (const std::string number : {"1e400", "-1e400", "-1", "[]", "\"1\""}) {
-        odd.push_back(targetWith("1500", number));
+        extreme.push_back(targetWith("1500", number));
     }
-    for (const std::string &text : odd) {
+    for (const std::string &text : extreme) {
         const DecodedItem decoded = decodeItem(itemOf("servers/i-7f3a91c2", text));
         EXPECT_TRUE(decoded.update.targets.empty()) << text.substr(0, 300);
         EXPECT_EQ(decoded.update.removals.size(), 1U) << text.substr(0, 300);
