Take a target for dead only after three refused probes

Cause: one refused probe beside one retransmission counted as a dead target, and all its flows were reset. Change: three refusals in a row, at least 100 ms apart, without a connection or progress in between. Ruled out: late packets, the overload limit (it never took force), moved tokens.

--- a/include/jasminequay/Steering/targetevidence.h
+++ b/include/jasminequay/Steering/targetevidence.h
@@ -32,7 +32,8 @@
 /// Collects the evidence about one target. No single source is sufficient: a target is lost only if packets
 /// are unanswered, probes failed too, and no flow has made progress since. Any progress clears all evidence.
 /// A probe that is not answered may have been lost on this instance's own link, as the callers' packets were,
-/// so it takes another one to show that the target is unreachable.
+/// so it takes another one to show that the target is unreachable. A full target refuses some connections and
+/// leaves packets unanswered as a dead one does, so only several refusals in a row show that it is dead.
 class TargetEvidence
 {
 public:
@@ -113,6 +114,7 @@
     bool m_isPeerReported = false;
     Reachability m_reachability = Reachability::Unknown;
     unsigned m_silentProbes = 0; ///< Probes in a row that nothing answered.
+    unsigned m_refusedProbes = 0; ///< Probes in a row that were refused.
     TimePoint m_probeStartedAt = TimePoint{};
     TimePoint m_probedAt = TimePoint{};
 };
--- a/lib/Steering/targetevidence.cpp
+++ b/lib/Steering/targetevidence.cpp
@@ -24,6 +24,12 @@
 /// How many probes in a row must have timed out before a target is considered unreachable.
 constexpr unsigned SilentProbesBeforeLoss = 2;
 
+/// How many probes in a row must have been refused before a target is considered dead, and the minimum time
+/// between their starts. A full target refuses some connections, and the load of a surge changes within tens
+/// of milliseconds: one refusal beside one retransmission reset the flows of targets that were serving.
+constexpr unsigned RefusedProbesBeforeLoss = 3;
+constexpr Duration RefusedProbeInterval = milliseconds(100);
+
 static constexpr EnumNames<Reachability, 4> ReachabilityNames{{
     {Reachability::Unknown, "unknown"},
     {Reachability::Connected, "connected"},
@@ -100,6 +106,7 @@
     }
     m_reachability = outcome;
     m_silentProbes = outcome == Reachability::Silent ? m_silentProbes + 1 : 0;
+    m_refusedProbes = outcome == Reachability::Refused ? m_refusedProbes + 1 : 0;
     m_probedAt = now;
 }
 
@@ -114,9 +121,12 @@
     if (hasNoRecentSilence(now) || !isUnanswered) {
         return false;
     }
-    const bool isConfirming
+    const bool isConfirmingSilence
         = m_silentProbes > 0 && m_silentProbes < SilentProbesBeforeLoss && m_probedAt > m_probeStartedAt;
-    return m_probeStartedAt == TimePoint{} || isConfirming || now - m_probeStartedAt >= ProbeInterval;
+    const bool isConfirmingRefusal = m_refusedProbes > 0 && m_refusedProbes < RefusedProbesBeforeLoss
+        && now - m_probeStartedAt >= RefusedProbeInterval;
+    return m_probeStartedAt == TimePoint{} || isConfirmingSilence || isConfirmingRefusal
+        || now - m_probeStartedAt >= ProbeInterval;
 }
 
 TargetVerdict TargetEvidence::verdict(TimePoint now) const
@@ -125,7 +135,7 @@
         return TargetVerdict::Healthy;
     }
     const unsigned unanswered = m_stalledFlows + m_unansweredOpenings;
-    if (m_reachability == Reachability::Refused && unanswered > 0) {
+    if (m_refusedProbes >= RefusedProbesBeforeLoss && unanswered > 0) {
         return TargetVerdict::Dead;
     }
     const bool isCorroborated = m_stalledFlows >= 2 || m_repeatedlyStalledFlows > 0 || unanswered >= 3
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -160,8 +160,16 @@
     EXPECT_EQ(instance.take(packet).action, SteeringAction::Drop);
 }
 
-/// Guards against open flows that hang at a dead target: a caller retransmits and the probe is refused.
-TEST(SteeringEngine, ARetransmissionAndARefusedProbeResetAllOpenFlowsOfTheTarget)
+/// Three probes of the first target in a row are refused.
+static void refuseThreeProbes(SteeredInstance &instance)
+{
+    for (unsigned probe = 0; probe < 3; ++probe) {
+        instance.target(0).evidence.recordProbe(Reachability::Refused, instance.now, instance.now);
+    }
+}
+
+/// Guards against open flows that hang at a dead target: a caller retransmits and the probes are refused.
+TEST(SteeringEngine, ARetransmissionAndRefusedProbesResetAllOpenFlowsOfTheTarget)
 {
     SteeredInstance instance(1);
     const SteeringDecision placed = instance.open(1);
@@ -169,7 +177,7 @@
     instance.take(dataOf(1, placed.token, 1001, 5000, 10));
     instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(200));
     EXPECT_TRUE(instance.target(0).evidence.needsProbe(instance.now));
-    instance.target(0).evidence.recordProbe(Reachability::Refused, instance.now, instance.now);
+    refuseThreeProbes(instance);
     const std::vector<PendingReset> resets = instance.engine.sweep(instance.now, 100);
     ASSERT_EQ(resets.size(), 2U);
     EXPECT_EQ(resets.front().cause, SteeringCause::TargetDead);
@@ -238,7 +246,7 @@
     const SteeringDecision placed = instance.open(1);
     instance.take(dataOf(1, placed.token, 1001, 5000, 10));
     instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(200));
-    instance.target(0).evidence.recordProbe(Reachability::Refused, instance.now, instance.now);
+    refuseThreeProbes(instance);
     ASSERT_EQ(instance.target(0).evidence.verdict(instance.now), TargetVerdict::Dead);
     EXPECT_TRUE(instance.engine.sweep(instance.now, 100).empty());
     EXPECT_EQ(instance.take(dataOf(1, placed.token, 1001, 5000, 10), milliseconds(400)).action,
