Judge answers by size and time; features in the settings

Cause: an instance sees no answer, so a target that fails all requests at once looks like the fastest one, and the refusals of full targets like good answers. Seen on both new deployments: successes have 300 bytes and more after the work of a request, errors and refusals 150 to 260 bytes within 10 ms. Change: AnswerQuality learns the usual size and time of a route's answers; both far below: failed.

--- a/include/jasminequay/Settings/steeringinstancesettings.h
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -3,6 +3,7 @@
 
 #include "jasminequay/Packet/endpoint.h"
 #include "jasminequay/Settings/mistake.h"
+#include "jasminequay/Settings/steeringfeatures.h"
 #include "jasminequay/Support/timepoint.h"
 
 #include <cstdint>
@@ -30,6 +31,7 @@
     std::uint32_t storeReadsPerSecond = 2000; ///< The budget of the whole fleet.
     std::uint32_t flowMemory = 65536; ///< The flows that are remembered.
     std::string logLevel = "info";
+    SteeringFeatures features; ///< Decisions that the deployment asks for.
     /// Where peers' messages and control pages arrive, if peers know the instance by a translated address.
     std::optional<Ipv4Address> bindAddress;
     Duration clockOffset = {}; ///< Added to the machine's time of day.
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -1,6 +1,8 @@
 // Decides where each packet of a caller goes, by the token that it carries. Uses no clock, socket or thread.
 #pragma once
 
+#include "jasminequay/Settings/steeringfeatures.h"
+#include "jasminequay/Steering/answerquality.h"
 #include "jasminequay/Steering/flowmemory.h"
 #include "jasminequay/Steering/routetable.h"
 #include "jasminequay/Steering/serviceload.h"
@@ -27,6 +29,7 @@
     Duration refusalAge = std::chrono::milliseconds(1500);
     DirectoryTiming directory;
     LoadLimits loadLimits;
+    SteeringFeatures features;
 };
 
 /// The fields of a packet that the engine uses, independent of its format.
@@ -148,7 +151,10 @@
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void trackProgress(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
     void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
-    void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now);
+    void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, std::uint32_t answerBytes,
+        TimePoint now);
+    AnswerVerdict judgeAnswer(
+        const SteeredFlow &flow, std::uint32_t answerBytes, Duration time, TimePoint now);
     [[nodiscard]] bool admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
     [[nodiscard]] InFlightRequests inFlightAt(const TargetRecord &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
@@ -165,6 +171,7 @@
     FlowMemory m_flows;
     SteeringCounters m_counters{};
     ServiceLoads m_loads;
+    std::unordered_map<std::uint64_t, AnswerQuality> m_answerQualities; ///< By the address of the route.
     OpeningPatience m_openingPatience;
     std::size_t m_dataCentreInstances = 1;
     std::size_t m_allInstances = 1;
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -31,6 +31,7 @@
     engine.dataCentre = settings.dataCentre;
     engine.flowCapacity = settings.flowMemory;
     engine.flowLifetime = settings.flowLifetime;
+    engine.features = settings.features;
     // A reader's confirmation of the state of the store arrives once in each wait of its watch.
     engine.refusalAge = readerTiming(settings.settingsBound).wait * 3 / 2;
     engine.directory.tombstoneLifetime = settings.flowLifetime;
--- a/lib/Settings/steeringinstancesettings.cpp
+++ b/lib/Settings/steeringinstancesettings.cpp
@@ -38,6 +38,27 @@
     }
 }
 
+/// Reads the list of features. Names without a meaning here are ignored, as the deployment lists features of
+/// its whole platform.
+static void readFeatures(YamlMapping &mapping, SteeringInstanceSettings &settings, Mistakes &mistakes)
+{
+    const YAML::Node list = mapping.take("features");
+    if (!list.IsDefined() || list.IsNull()) {
+        return;
+    }
+    if (!list.IsSequence()) {
+        addMistake(mistakes, list, "features", "a sequence of names is expected here");
+        return;
+    }
+    for (const YAML::Node &node : list) {
+        if (node.IsScalar()) {
+            enableFeature(settings.features, node.Scalar());
+        } else {
+            addMistake(mistakes, node, "features", "a feature is not a name");
+        }
+    }
+}
+
 static void readAddresses(YamlMapping &mapping, SteeringInstanceSettings &settings)
 {
     constexpr std::string_view Kind = "an address with a port";
@@ -67,6 +88,7 @@
     mapping.takeParsed("data-centre", "a name", true, parseName, settings.dataCentre);
     readAddresses(mapping, settings);
     readSeeds(mapping, settings, parsed.mistakes);
+    readFeatures(mapping, settings, parsed.mistakes);
     mapping.takeParsed("first-start", "true or false", false, parseTruth, settings.isFirstStart);
     readTimes(mapping, settings);
     mapping.takeParsed("store-reads-per-second", "a rate of at least 1 a second", false, parseRate,
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -276,7 +276,8 @@
         state.progressAt = now;
         state.retransmissions = 0;
         state.isResponsePending = false;
-        endRequest(packet.flow, state, target, now);
+        const std::int32_t answerBytes = std::max(distance(state.acknowledged, packet.acknowledged), 0);
+        endRequest(packet.flow, state, target, static_cast<std::uint32_t>(answerBytes), now);
     }
     if (isNew || wasOpening || isAcknowledging) {
         state.acknowledged = packet.acknowledged;
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -23,8 +23,20 @@
     }
 }
 
+/// Returns what the size and time of an answer say about it; nothing unless a feature needs it.
+AnswerVerdict SteeringEngine::judgeAnswer(
+    const SteeredFlow &flow, std::uint32_t answerBytes, Duration time, TimePoint now)
+{
+    const SteeringFeatures &features = m_settings.features;
+    if (!features.ejectsOutliers && !features.admitsByPriority) {
+        return AnswerVerdict::Unknown;
+    }
+    return m_answerQualities[flow.service.packed()].record(answerBytes, time, now);
+}
+
 /// Ends the request in flight, if there is one, and records its response time.
-void SteeringEngine::endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now)
+void SteeringEngine::endRequest(
+    const SteeredFlow &flow, FlowState &state, KnownTarget &target, std::uint32_t answerBytes, TimePoint now)
 {
     if (!state.isRequestInFlight) {
         return;
@@ -35,6 +47,8 @@
     if (route == nullptr || route->objective <= Duration::zero()) {
         return;
     }
+    [[maybe_unused]] const AnswerVerdict verdict
+        = judgeAnswer(flow, answerBytes, now - state.requestStartedAt, now);
     const double share = std::chrono::duration<double>(now - state.requestStartedAt)
         / std::chrono::duration<double>(route->objective);
     target.pace.recordResponse(share, now);
--- a/unittests/Settings/steeringinstancesettingstest.cpp
+++ b/unittests/Settings/steeringinstancesettingstest.cpp
@@ -26,6 +26,9 @@
 clock-offset: "-1200ms"
 bind-address: "127.0.2.1"
 store-reads-per-second: "2000"
+features:
+  - "health"
+  - "cost"
 )";
 
 static std::string replaced(const std::string &from, const std::string &to)
@@ -47,6 +50,8 @@
     EXPECT_EQ(parsed.settings.clockOffset, std::chrono::milliseconds(-1200));
     EXPECT_EQ(format(parsed.settings.boundAddress()), "127.0.2.1");
     EXPECT_EQ(parsed.settings.storeReadsPerSecond, 2000U);
+    EXPECT_TRUE(parsed.settings.features.ejectsOutliers);
+    EXPECT_FALSE(parsed.settings.features.admitsByPriority);
     EXPECT_TRUE(isSteeringInstanceSettings(Whole));
 }
 
@@ -111,7 +116,7 @@
         EXPECT_NE(known.find(line.substr(0, colon + 1)), std::string::npos) << line;
         ++keys;
     }
-    EXPECT_EQ(keys, 13U);
+    EXPECT_EQ(keys, 14U);
 }
 
 } // namespace jasminequay
--- a/unittests/Steering/steeringfixture.h
+++ b/unittests/Steering/steeringfixture.h
@@ -113,8 +113,9 @@
 class SteeredInstance
 {
 public:
-    explicit SteeredInstance(std::uint32_t targets, RequestKind kind = RequestKind::Idempotent)
-        : engine({"dc-1", 4096, std::chrono::seconds(60), std::chrono::milliseconds(1500), {}, {}})
+    explicit SteeredInstance(
+        std::uint32_t targets, RequestKind kind = RequestKind::Idempotent, SteeringFeatures features = {})
+        : engine({"dc-1", 4096, std::chrono::seconds(60), std::chrono::milliseconds(1500), {}, {}, features})
     {
         engine.replaceRoutes(routesOf(1, kind), now);
         for (std::uint32_t number = 0; number < targets; ++number) {
