Admit new flows by priority while targets turn requests away

Cause: in a surge beyond the capacity of all targets, full targets turn requests of all priorities away; answers stay within the objective, so that ServiceLoad limits nothing. The load model has routes with priorities, failing targets and targets that leave openings unanswered or reset flows.

--- a/include/jasminequay/Model/loadmodel.h
+++ b/include/jasminequay/Model/loadmodel.h
@@ -55,6 +55,7 @@
     struct Call {
         TimePoint startedAt;
         std::uint32_t dataCentre = 0;
+        std::uint32_t route = 0;
         unsigned attempts = 0;
         bool isDone = false;
     };
@@ -62,6 +63,7 @@
     struct Flow {
         SteeredFlow endpoints;
         std::uint32_t dataCentre = 0; ///< The caller's.
+        std::uint32_t route = 0;
         std::uint32_t instance = 0;
         std::uint32_t target = 0;
         SteeringToken token = NoToken;
@@ -82,7 +84,7 @@
     void handle(const Event &event);
     void beginCall(std::uint32_t dataCentre);
     void beginAttempt(std::uint32_t call);
-    std::uint32_t takeFlow(std::uint32_t dataCentre, bool isRetry);
+    std::uint32_t takeFlow(std::uint32_t dataCentre, std::uint32_t route, bool isRetry);
     void onOpeningAtInstance(std::uint32_t number);
     void onRequestAtInstance(std::uint32_t number);
     void onRequestAtTarget(std::uint32_t number);
@@ -94,8 +96,13 @@
     SteeringDecision decide(
         const Flow &flow, bool isOpening, std::uint32_t retransmission, std::uint32_t size);
     [[nodiscard]] bool isMeasured(const Call &call) const;
-    [[nodiscard]] double activeFactor(LoadChange change, std::uint32_t dataCentre) const;
+    [[nodiscard]] double activeFactor(
+        LoadChange change, std::uint32_t dataCentre, std::uint32_t route = 0) const;
+    [[nodiscard]] bool isAffected(LoadChange change, std::uint32_t target) const;
     [[nodiscard]] bool isLost(std::uint32_t target) const;
+    [[nodiscard]] double callRate(std::uint32_t dataCentre, std::uint32_t route) const;
+    [[nodiscard]] std::uint32_t drawRoute(std::uint32_t dataCentre);
+    void turnAway(std::uint32_t number);
     [[nodiscard]] Duration delayTo(std::uint32_t target, std::uint32_t dataCentre) const;
     [[nodiscard]] double uniformRandom();
     void countCall(const Call &call, std::uint64_t CallCounts::*count);
@@ -111,7 +118,7 @@
     std::vector<std::uint32_t> m_targetDataCentres;
     std::vector<ModelTarget> m_targets;
     std::vector<std::vector<std::unique_ptr<SteeringEngine>>> m_instances; ///< By data centre.
-    std::vector<std::vector<std::uint32_t>> m_idleFlows; ///< By data centre.
+    std::vector<std::vector<std::vector<std::uint32_t>>> m_idleFlows; ///< By data centre and route.
     std::vector<Flow> m_flows;
     std::vector<Call> m_calls;
     std::vector<Attempt> m_attempts;
--- a/include/jasminequay/Model/loadplan.h
+++ b/include/jasminequay/Model/loadplan.h
@@ -5,6 +5,7 @@
 #include "jasminequay/Support/timepoint.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,7 @@
     Surge, ///< The call rate is multiplied by `factor`.
     SlowTargets, ///< The work time of requests is multiplied by `factor`.
     LostTargets, ///< A share of `factor` of the targets does not answer.
+    FailingTargets, ///< A share of `factor` of the targets rejects all requests.
 };
 
 std::string_view loadChangeName(LoadChange change);
@@ -35,6 +37,21 @@
     DropOldest,
 };
 
+/// How a target turns away a request that finds its queue full.
+enum class TurnAway : std::uint8_t {
+    Refuse, ///< With a short answer.
+    LeaveUnanswered, ///< Opening packets get no answer.
+    Reset, ///< The flow is reset; a non-idempotent request is then lost.
+};
+
+/// The requests of one route.
+struct ModelRoute {
+    double callShare = 1; ///< Of the calls of each data centre.
+    std::uint32_t priority = 0;
+    bool isIdempotent = true;
+    Duration work = std::chrono::milliseconds(32); ///< The mean work time of a request.
+};
+
 std::string_view queuePolicyName(QueuePolicy policy);
 
 /// A load change with its place and time.
@@ -44,6 +61,8 @@
     double factor = 1;
     Duration at{}; ///< Since the start of the run.
     Duration lasting{};
+    std::optional<std::uint32_t> route
+        = std::nullopt; ///< The index of the route whose calls a surge multiplies; all if empty.
 };
 
 /// The callers, the targets and the changes during a run. Work times have a log-normal distribution.
@@ -55,7 +74,9 @@
     QueuePolicy queuePolicy = QueuePolicy::RefuseNewest;
     Duration shedDelay
         = std::chrono::milliseconds(110); ///< How long a full target takes to reject a request.
-    Duration work = std::chrono::milliseconds(32); ///< The mean work time of a request.
+    TurnAway turnAway = TurnAway::Refuse;
+    Duration work = std::chrono::milliseconds(32); ///< The mean work time of a request without `routes`.
+    std::vector<ModelRoute> routes; ///< If empty, there is one idempotent route.
     double workSpread = 0.5; ///< The standard deviation of the logarithm of the work time.
     Duration objective = std::chrono::milliseconds(150); ///< The latency objective of a call.
     Duration deadline
@@ -73,6 +94,7 @@
     Duration measureTo = std::chrono::seconds(14);
     std::vector<LoadEvent> events;
     LoadLimits limits;
+    bool admitsByPriority = false;
     std::uint64_t seed = 1;
 };
 
--- a/include/jasminequay/Model/loadresult.h
+++ b/include/jasminequay/Model/loadresult.h
@@ -26,8 +26,11 @@
 /// The outcome of one run.
 struct LoadResult {
     CallCounts measured; ///< Calls that began in the measured interval of the plan.
+    std::vector<CallCounts> routes; ///< The measured calls by route.
     std::vector<CallCounts> seconds; ///< By the second of the run in which a call began.
     std::uint64_t refusedAttempts = 0; ///< Attempts that an instance refused.
+    std::vector<std::uint64_t> refusedBySecond; ///< The refused attempts by the second of the run.
+    std::uint64_t sentAttempts = 0; ///< Attempts that reached a target.
     std::uint64_t shedAttempts = 0; ///< Attempts that a full target rejected.
     std::uint64_t otherDataCentre = 0; ///< New flows to a target outside the caller's data centre.
     std::vector<double> latencies; ///< Of the measured calls that were answered, in milliseconds, sorted.
--- a/include/jasminequay/Model/modeltarget.h
+++ b/include/jasminequay/Model/modeltarget.h
@@ -47,6 +47,11 @@
         return {false, oldest};
     }
 
+    [[nodiscard]] bool isFull() const
+    {
+        return m_running >= m_slots && m_waiting.size() >= m_queue;
+    }
+
     /// Ends a running request. Returns the waiting request that starts in its slot, if any.
     std::optional<std::uint32_t> finish()
     {
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -4,6 +4,7 @@
 #include "jasminequay/Settings/steeringfeatures.h"
 #include "jasminequay/Steering/answerquality.h"
 #include "jasminequay/Steering/flowmemory.h"
+#include "jasminequay/Steering/priorityadmission.h"
 #include "jasminequay/Steering/routetable.h"
 #include "jasminequay/Steering/serviceload.h"
 #include "jasminequay/Steering/steeredpacket.h"
@@ -106,6 +107,22 @@
         return m_loads;
     }
 
+    /// The admission of new flows by service and data centre.
+    using Admissions = std::map<std::pair<std::string, std::string>, PriorityAdmission, std::less<>>;
+
+    /// Returns the admission at each service and data centre that was chosen for a flow. Empty unless the
+    /// settings ask for admission by priority.
+    [[nodiscard]] const Admissions &admissions() const
+    {
+        return m_admissions;
+    }
+
+    /// Returns the numbers of openings that were refused because all data centres were full, by priority.
+    [[nodiscard]] const std::map<std::uint32_t, std::uint64_t> &refusedByPriority() const
+    {
+        return m_refusedByPriority;
+    }
+
     /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
 
@@ -156,6 +173,10 @@
     AnswerVerdict judgeAnswer(
         const SteeredFlow &flow, std::uint32_t answerBytes, Duration time, TimePoint now);
     [[nodiscard]] bool admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
+    PriorityAdmission *admissionAt(const TargetRecord &target);
+    [[nodiscard]] bool admitsByPriority(const Route &route, const TargetRecord &target,
+        std::uint64_t flowHash, bool isFirstChoice, TimePoint now);
+    void recordSent(const SteeredFlow &flow, const KnownTarget &target, TimePoint now);
     [[nodiscard]] InFlightRequests inFlightAt(const TargetRecord &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     FlowState &findOrAddFlow(const SteeredFlow &flow);
@@ -172,6 +193,8 @@
     SteeringCounters m_counters{};
     ServiceLoads m_loads;
     std::unordered_map<std::uint64_t, AnswerQuality> m_answerQualities; ///< By the address of the route.
+    Admissions m_admissions;
+    std::map<std::uint32_t, std::uint64_t> m_refusedByPriority;
     OpeningPatience m_openingPatience;
     std::size_t m_dataCentreInstances = 1;
     std::size_t m_allInstances = 1;
--- a/lib/Model/loadmodel.cpp
+++ b/lib/Model/loadmodel.cpp
@@ -17,6 +17,7 @@
 /// Bytes of payload.
 constexpr std::uint32_t RequestSize = 200;
 constexpr std::uint32_t AnswerSize = 1000;
+constexpr std::uint32_t RefusalSize = 200;
 /// How often the instances are told that their data is current and sweep their flows.
 constexpr Duration TickInterval = milliseconds(50);
 
@@ -28,10 +29,11 @@
 constexpr std::array<Duration, 3> RetransmissionTimes{
     milliseconds(200), milliseconds(600), milliseconds(1400)};
 
-static constexpr EnumNames<LoadChange, 3> LoadChangeNames{{
+static constexpr EnumNames<LoadChange, 4> LoadChangeNames{{
     {LoadChange::Surge, "surge"},
     {LoadChange::SlowTargets, "slow-targets"},
     {LoadChange::LostTargets, "lost-targets"},
+    {LoadChange::FailingTargets, "failing-targets"},
 }};
 
 static constexpr EnumNames<QueuePolicy, 2> QueuePolicyNames{{
@@ -64,8 +66,15 @@
     , m_start(std::chrono::hours(1))
     , m_now(m_start)
     , m_instances(m_plan.dataCentres.size())
-    , m_idleFlows(m_plan.dataCentres.size())
 {
+    if (m_plan.routes.empty()) {
+        m_plan.routes.push_back({1, 0, true, m_plan.work});
+    }
+    m_idleFlows.resize(m_plan.dataCentres.size());
+    for (auto &idle : m_idleFlows) {
+        idle.resize(m_plan.routes.size());
+    }
+    m_result.routes.resize(m_plan.routes.size());
     for (std::uint32_t dataCentre = 0; dataCentre < m_plan.dataCentres.size(); ++dataCentre) {
         for (unsigned number = 0; number < m_plan.dataCentres[dataCentre].targets; ++number) {
             const auto index = static_cast<std::uint32_t>(m_records.size());
@@ -88,6 +97,29 @@
     }
     push(TickInterval, EventKind::Tick, 0);
     m_result.seconds.resize(static_cast<std::size_t>(m_plan.length / seconds(1)) + 1);
+    m_result.refusedBySecond.resize(m_result.seconds.size());
+}
+
+/// Returns the address of the service for a route.
+static Endpoint addressOf(std::uint32_t route)
+{
+    return {ServiceAddress.address, static_cast<std::uint16_t>(ServiceAddress.port + route)};
+}
+
+static std::vector<Route> routesOf(const LoadPlan &plan)
+{
+    std::vector<Route> routes;
+    for (std::uint32_t number = 0; number < plan.routes.size(); ++number) {
+        Route route;
+        route.name = "desk-" + std::to_string(number);
+        route.address = addressOf(number);
+        route.kind = plan.routes[number].isIdempotent ? RequestKind::Idempotent : RequestKind::NonIdempotent;
+        route.services = {{"desk", 1}};
+        route.objective = plan.objective;
+        route.priority = plan.routes[number].priority;
+        routes.push_back(route);
+    }
+    return routes;
 }
 
 void LoadModel::addInstances(std::uint32_t dataCentre)
@@ -100,15 +132,10 @@
         SteeringSettings settings;
         settings.dataCentre = m_plan.dataCentres[dataCentre].name;
         settings.loadLimits = m_plan.limits;
+        settings.features.admitsByPriority = m_plan.admitsByPriority;
         auto engine = std::make_unique<SteeringEngine>(settings);
         engine->targets().replaceAll(m_records, 1, m_now);
-        Route route;
-        route.name = "desk";
-        route.address = ServiceAddress;
-        route.kind = RequestKind::Idempotent;
-        route.services = {{"desk", 1}};
-        route.objective = m_plan.objective;
-        engine->replaceRoutes(RouteConfiguration{1, FlowIdleTimeout, {route}, {}}, m_now);
+        engine->replaceRoutes(RouteConfiguration{1, FlowIdleTimeout, routesOf(m_plan), {}}, m_now);
         engine->setInstanceCounts(m_plan.dataCentres[dataCentre].instances, totalInstances);
         engine->markCurrentAt(m_now);
         m_instances[dataCentre].push_back(std::move(engine));
@@ -165,24 +192,30 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-double LoadModel::activeFactor(LoadChange change, std::uint32_t dataCentre) const
+double LoadModel::activeFactor(LoadChange change, std::uint32_t dataCentre, std::uint32_t route) const
 {
     double factor = 1;
     for (const LoadEvent &event : m_plan.events) {
         const bool isHere
             = event.dataCentre.empty() || event.dataCentre == m_plan.dataCentres[dataCentre].name;
         const bool isNow = m_now - m_start >= event.at && m_now - m_start < event.at + event.lasting;
-        factor *= event.change == change && isHere && isNow ? event.factor : 1;
+        const bool isOfRoute = event.route.value_or(route) == route;
+        factor *= event.change == change && isHere && isNow && isOfRoute ? event.factor : 1;
     }
     return factor;
 }
 
+/// Returns whether a target is among the share of targets that a change affects now.
+bool LoadModel::isAffected(LoadChange change, std::uint32_t target) const
+{
+    const double share = activeFactor(change, m_targetDataCentres[target]);
+    // Without an active event the factor is one and no target is affected.
+    return share < 1 && static_cast<double>(target % 10) < share * 10;
+}
+
 bool LoadModel::isLost(std::uint32_t target) const
 {
-    const std::uint32_t dataCentre = m_targetDataCentres[target];
-    const double lostShare = activeFactor(LoadChange::LostTargets, dataCentre);
-    // Without an active event the factor is one and no target is lost.
-    return lostShare < 1 && static_cast<double>(target % 10) < lostShare * 10;
+    return isAffected(LoadChange::LostTargets, target);
 }
 
 Duration LoadModel::delayTo(std::uint32_t target, std::uint32_t dataCentre) const
@@ -202,24 +235,47 @@
     ++(m_result.seconds[static_cast<std::size_t>(since / seconds(1))].*count);
     if (isMeasured(call)) {
         ++(m_result.measured.*count);
+        ++(m_result.routes[call.route].*count);
     }
 }
 
+/// Returns the calls per second of a route in a data centre.
+double LoadModel::callRate(std::uint32_t dataCentre, std::uint32_t route) const
+{
+    return m_plan.dataCentres[dataCentre].callsPerSecond * m_plan.routes[route].callShare
+        * activeFactor(LoadChange::Surge, dataCentre, route);
+}
+
+/// Returns the route of the next call, drawn by the call rates.
+std::uint32_t LoadModel::drawRoute(std::uint32_t dataCentre)
+{
+    if (m_plan.routes.size() == 1) {
+        return 0;
+    }
+    std::vector<double> rates;
+    for (std::uint32_t route = 0; route < m_plan.routes.size(); ++route) {
+        rates.push_back(callRate(dataCentre, route));
+    }
+    return std::discrete_distribution<std::uint32_t>(rates.begin(), rates.end())(m_random);
+}
+
 void LoadModel::beginCall(std::uint32_t dataCentre)
 {
-    const double rate
-        = m_plan.dataCentres[dataCentre].callsPerSecond * activeFactor(LoadChange::Surge, dataCentre);
+    double rate = 0;
+    for (std::uint32_t route = 0; route < m_plan.routes.size(); ++route) {
+        rate += callRate(dataCentre, route);
+    }
     const std::chrono::duration<double> pause(-std::log(1 - uniformRandom()) / rate);
     push(std::chrono::duration_cast<Duration>(pause), EventKind::Call, dataCentre);
-    m_calls.push_back({m_now, dataCentre, 0, false});
+    m_calls.push_back({m_now, dataCentre, drawRoute(dataCentre), 0, false});
     countCall(m_calls.back(), &CallCounts::offered);
     beginAttempt(static_cast<std::uint32_t>(m_calls.size() - 1));
 }
 
 /// Returns an idle flow of the data centre or a new one. Retries always use a new flow.
-std::uint32_t LoadModel::takeFlow(std::uint32_t dataCentre, bool isRetry)
+std::uint32_t LoadModel::takeFlow(std::uint32_t dataCentre, std::uint32_t route, bool isRetry)
 {
-    std::vector<std::uint32_t> &idle = m_idleFlows[dataCentre];
+    std::vector<std::uint32_t> &idle = m_idleFlows[dataCentre][route];
     while (!isRetry && !idle.empty() && uniformRandom() >= m_plan.newFlowShare) {
         std::swap(idle[m_random() % idle.size()], idle.back());
         const std::uint32_t number = idle.back();
@@ -231,8 +287,9 @@
     Flow flow;
     const auto number = static_cast<std::uint32_t>(m_flows.size());
     flow.endpoints = {{{0x64400000 + (number >> 15)}, static_cast<std::uint16_t>(1024 + (number & 0x7fff))},
-        ServiceAddress};
+        addressOf(route)};
     flow.dataCentre = dataCentre;
+    flow.route = route;
     flow.instance = static_cast<std::uint32_t>(m_random() % m_instances[dataCentre].size());
     flow.sequence = FirstSequence;
     m_flows.push_back(flow);
@@ -242,7 +299,8 @@
 void LoadModel::beginAttempt(std::uint32_t call)
 {
     ++m_calls[call].attempts;
-    const std::uint32_t flow = takeFlow(m_calls[call].dataCentre, m_calls[call].attempts > 1);
+    const std::uint32_t flow
+        = takeFlow(m_calls[call].dataCentre, m_calls[call].route, m_calls[call].attempts > 1);
     m_attempts.push_back({call, flow, 0, false});
     const auto number = static_cast<std::uint32_t>(m_attempts.size() - 1);
     push(m_plan.callerDelay,
@@ -271,11 +329,16 @@
     const SteeringDecision decision = decide(flow, true, attempt.retransmissions, 0);
     if (decision.action == SteeringAction::Reset) {
         ++m_result.refusedAttempts;
+        ++m_result.refusedBySecond[static_cast<std::size_t>((m_now - m_start) / seconds(1))];
         return scheduleRetry(attempt.call);
     }
     if (decision.action == SteeringAction::Forward) {
         const auto target = static_cast<std::uint32_t>(decision.targetId - 1);
-        if (!isLost(target)) {
+        const bool isSilent = m_plan.turnAway == TurnAway::LeaveUnanswered && m_targets[target].isFull();
+        if (isSilent) {
+            ++m_result.sentAttempts;
+            ++m_result.shedAttempts;
+        } else if (!isLost(target)) {
             flow.target = target;
             flow.token = decision.token;
             flow.acknowledged = FirstSequence;
@@ -312,26 +375,37 @@
     if (isLost(flow.target)) {
         return;
     }
+    ++m_result.sentAttempts;
+    if (isAffected(LoadChange::FailingTargets, flow.target)) {
+        return turnAway(number);
+    }
     const ModelTarget::Arrival arrival = m_targets[flow.target].arrive(number);
     if (arrival.isStarted) {
         startWork(number);
     }
     if (arrival.shed) {
-        ++m_result.shedAttempts;
-        Attempt &shedAttempt = m_attempts[*arrival.shed];
-        shedAttempt.isShed = true;
-        const Duration delay = delayTo(flow.target, m_flows[shedAttempt.flow].dataCentre);
-        push(m_plan.shedDelay + m_plan.callerDelay + delay, EventKind::AnswerAtCaller, *arrival.shed);
+        turnAway(*arrival.shed);
     }
 }
 
+/// Rejects a request that has reached a target.
+void LoadModel::turnAway(std::uint32_t number)
+{
+    ++m_result.shedAttempts;
+    Attempt &attempt = m_attempts[number];
+    attempt.isShed = true;
+    const Flow &flow = m_flows[attempt.flow];
+    push(m_plan.shedDelay + m_plan.callerDelay + delayTo(flow.target, flow.dataCentre),
+        EventKind::AnswerAtCaller, number);
+}
+
 void LoadModel::startWork(std::uint32_t number)
 {
-    const std::uint32_t target = m_flows[m_attempts[number].flow].target;
+    const Flow &flow = m_flows[m_attempts[number].flow];
     const double spread = m_plan.workSpread;
     std::lognormal_distribution<double> work(-spread * spread / 2, spread);
-    const double factor = activeFactor(LoadChange::SlowTargets, m_targetDataCentres[target]);
-    const std::chrono::duration<double> mean = m_plan.work;
+    const double factor = activeFactor(LoadChange::SlowTargets, m_targetDataCentres[flow.target]);
+    const std::chrono::duration<double> mean = m_plan.routes[flow.route].work;
     push(std::chrono::duration_cast<Duration>(mean * work(m_random) * factor), EventKind::WorkFinished,
         number);
 }
@@ -352,10 +426,13 @@
 {
     Attempt &attempt = m_attempts[number];
     Flow &flow = m_flows[attempt.flow];
-    flow.acknowledged += AnswerSize;
+    if (attempt.isShed && m_plan.turnAway == TurnAway::Reset) {
+        return m_plan.routes[flow.route].isIdempotent ? scheduleRetry(attempt.call) : void();
+    }
+    flow.acknowledged += attempt.isShed ? RefusalSize : AnswerSize;
     static_cast<void>(decide(flow, false, 0, 0)); // a decision about an acknowledgement needs no action
     flow.idleSince = m_now;
-    m_idleFlows[flow.dataCentre].push_back(attempt.flow);
+    m_idleFlows[flow.dataCentre][flow.route].push_back(attempt.flow);
     if (attempt.isShed) {
         return scheduleRetry(attempt.call);
     }
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -146,6 +146,9 @@
     if (isCopy && previous != nullptr) {
         previous->evidence.recordUnansweredOpening(now);
         m_targets.watch(*previous);
+        if (PriorityAdmission *const admission = admissionAt(previous->record)) {
+            admission->recordUnanswered(packet.flow.hash(), now);
+        }
     }
     const auto [target, token, isFull] = place(*route, packet, isCopy ? known->target : 0, now);
     if (isFull) {
@@ -167,6 +170,7 @@
     state.isResponsePending = false;
     target->openings.recordOpening(now);
     m_targets.openingsOf(target->record.dataCentre).recordOpening(now);
+    recordSent(packet.flow, *target, now);
     return makeForward(*target, token, isMoved ? SteeringCause::PlacedAgain : SteeringCause::Placed);
 }
 
@@ -244,6 +248,9 @@
     bind(state, *target, isRemembered ? state.token : packet.token);
     trackProgress(packet, state, *target, now);
     if (packet.isReset) {
+        if (PriorityAdmission *const admission = admissionAt(target->record)) {
+            admission->recordSettled(packet.flow.hash());
+        }
         unbind(state);
         m_flows.erase(packet.flow);
         return target->presence == TargetPresence::Gone
@@ -291,6 +298,7 @@
         if (packet.dataSize > 0 && !state.isResponsePending) {
             state.isResponsePending = true;
             beginRequest(state, target, now);
+            recordSent(packet.flow, target, now);
         }
     } else if (isNew || isAcknowledging) {
         state.sentAt = now;
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -38,17 +38,25 @@
 void SteeringEngine::endRequest(
     const SteeredFlow &flow, FlowState &state, KnownTarget &target, std::uint32_t answerBytes, TimePoint now)
 {
+    PriorityAdmission *const admission = admissionAt(target.record);
     if (!state.isRequestInFlight) {
+        if (admission != nullptr) {
+            admission->recordSettled(flow.hash());
+        }
         return;
     }
     state.isRequestInFlight = false;
     target.pace.recordRequestEnd();
+    const Duration time = now - state.requestStartedAt;
+    const AnswerVerdict verdict = judgeAnswer(flow, answerBytes, time, now);
+    if (admission != nullptr) {
+        const bool isFailed = verdict == AnswerVerdict::Failed;
+        admission->recordAnswer({flow.hash(), target.key, flow.service.packed(), time, isFailed}, now);
+    }
     const Route *const route = m_routes.at(flow.service);
     if (route == nullptr || route->objective <= Duration::zero()) {
         return;
     }
-    [[maybe_unused]] const AnswerVerdict verdict
-        = judgeAnswer(flow, answerBytes, now - state.requestStartedAt, now);
     const double share = std::chrono::duration<double>(now - state.requestStartedAt)
         / std::chrono::duration<double>(route->objective);
     target.pace.recordResponse(share, now);
@@ -125,7 +133,10 @@
             }
             const bool isSpilled = !request.fullDataCentres.empty()
                 && request.fullDataCentres.front() == m_settings.dataCentre;
-            if (isNew && !admits(route, target->record, isSpilled, now)) {
+            const bool isFirstChoice = request.fullDataCentres.empty();
+            if (isNew
+                && !(admitsByPriority(route, target->record, flowHash, isFirstChoice, now)
+                    && admits(route, target->record, isSpilled, now))) {
                 request.fullDataCentres.push_back(target->record.dataCentre);
                 continue;
             }
@@ -141,6 +152,7 @@
         }
         if (!request.fullDataCentres.empty()) {
             placement.isFull = true;
+            ++m_refusedByPriority[route.priority];
             return placement;
         }
     }
