--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -101,6 +101,9 @@
     /// Reports lost targets to the peers of the own data centre.
     FleetActions reportTargetLosses(const std::vector<TargetLossReport> &losses, TimePoint now);
 
+    /// Reports failed answers of targets to the peers of the own data centre.
+    FleetActions reportTargetFailures(const std::vector<TargetFailures> &failures, TimePoint now);
+
     /// Applies seeds and a settings bound that changed while the instance runs.
     void reconfigure(const std::vector<Endpoint> &seeds, Duration settingsBound, TimePoint now);
 
--- a/include/jasminequay/Fleet/fleetnews.h
+++ b/include/jasminequay/Fleet/fleetnews.h
@@ -4,6 +4,7 @@
 #include "jasminequay/Membership/digest.h"
 #include "jasminequay/Steering/directoryupdate.h"
 #include "jasminequay/Steering/targetevidence.h"
+#include "jasminequay/Steering/targetfailures.h"
 
 #include <cstdint>
 #include <optional>
@@ -50,6 +51,7 @@
     DirectoryStatus status;
     DirectoryChanges changes;
     std::vector<TargetLossReport> targetLosses;
+    std::vector<TargetFailures> targetFailures;
 };
 
 /// A checksum of the names of the targets that a directory lists.
--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -4,6 +4,7 @@
 
 #include "jasminequay/Fleet/fleetcontrol.h"
 #include "jasminequay/Node/loadwatch.h"
+#include "jasminequay/Node/outlierlog.h"
 #include "jasminequay/Node/peerchannel.h"
 #include "jasminequay/Node/steeringpath.h"
 #include "jasminequay/Platform/reachabilityprobe.h"
@@ -106,6 +107,7 @@
     void logResets(const std::vector<PendingReset> &resets, TimePoint now);
     void startProbes(TimePoint now);
     void reportTargetLosses(TimePoint now);
+    void reportTargetFailures(TimePoint now);
     void detectPause(TimePoint now);
     boost::asio::awaitable<void> probe(std::uint64_t key, Endpoint address, ProbeQuestion question);
     void recordProbe(KnownTarget &target, const TargetProbe &result, TimePoint startedAt, TimePoint now);
@@ -117,6 +119,7 @@
     FleetControl m_fleet;
     PeerChannel m_peers;
     LoadWatch m_loadWatch;
+    OutlierLog m_outlierLog;
     StoreCounters m_storeCounters;
     ProbeCounters m_probeCounters;
     bool m_isStoreFailing = false;
--- a/include/jasminequay/Steering/flowmemory.h
+++ b/include/jasminequay/Steering/flowmemory.h
@@ -56,6 +56,8 @@
     FlowStage stage = FlowStage::Opening;
     bool isResponsePending = false; ///< Whether the caller has sent data and no response has arrived yet.
     bool isRequestInFlight = false; ///< Whether a request of this flow is counted at the target.
+    bool isEndCounted = false; ///< Whether its end is counted at the target.
+    bool isOverdue = false; ///< Whether the latest opening or request has been counted as overdue.
 };
 
 /// A bounded table of flows.
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -8,6 +8,7 @@
 #include "jasminequay/Steering/serviceload.h"
 #include "jasminequay/Steering/steeredpacket.h"
 #include "jasminequay/Steering/steeringdecision.h"
+#include "jasminequay/Steering/steeringhealth.h"
 #include "jasminequay/Steering/targetdirectory.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 namespace jasminequay
 {
 
+struct ChoiceRequest;
+
 /// The settings of an engine.
 struct SteeringSettings {
     std::string dataCentre; ///< The data centre of this instance.
@@ -106,6 +109,22 @@
         return m_loads;
     }
 
+    /// Returns whether targets are ejected because of their answers.
+    [[nodiscard]] bool ejectsOutliers() const
+    {
+        return m_settings.features.ejectsOutliers;
+    }
+
+    /// Returns the targets that are ejected because of their answers.
+    [[nodiscard]] OutlierEjection &outliers()
+    {
+        return m_health.outliers;
+    }
+
+    /// Records the failed answers that a peer of the own data centre has observed. `peer` is its name.
+    void recordPeerFailures(
+        std::string_view peer, const std::vector<TargetFailures> &reports, TimePoint now);
+
     /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
 
@@ -155,11 +174,26 @@
         TimePoint now);
     AnswerVerdict judgeAnswer(
         const SteeredFlow &flow, std::uint32_t answerBytes, Duration time, TimePoint now);
+    [[nodiscard]] OutlierCandidate candidateOf(const KnownTarget &target);
+    [[nodiscard]] bool isJudged(TimePoint sentAt, TimePoint now) const;
+    [[nodiscard]] Duration overdueAfter(Endpoint service) const;
+    void addHealth(const Route &route, ChoiceRequest &request) const;
+    void watchOpening(const SteeredFlow &flow, FlowState &state, TimePoint now);
+    void watchRequest(const SteeredFlow &flow, FlowState &state, TimePoint now);
+    void recordOpeningTime(const FlowState &state, const KnownTarget &target, TimePoint now);
+    void recordOutcome(const SteeredFlow &flow, const FlowState &state, KnownTarget &target,
+        AnswerVerdict verdict, TimePoint now);
+    void markOverdue(const SteeredFlow &flow, FlowState &state, TimePoint sentAt, TimePoint now);
+    void checkOpenings(TimePoint now);
+    void checkRequests(TimePoint now);
+    void checkHealth(TimePoint now);
     [[nodiscard]] bool admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
     [[nodiscard]] InFlightRequests inFlightAt(const TargetRecord &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     FlowState &findOrAddFlow(const SteeredFlow &flow);
     void unbind(FlowState &state);
+    static void countEnd(FlowState &state, KnownTarget &target);
+    static void forgetEnd(FlowState &state, KnownTarget *target);
     [[nodiscard]] bool isCurrent(TimePoint now) const;
     [[nodiscard]] bool mayAbort(const SteeredFlow &flow, const FlowState *state) const;
     [[nodiscard]] std::optional<SteeringCause> lossCause(
@@ -173,6 +207,7 @@
     ServiceLoads m_loads;
     std::unordered_map<std::uint64_t, AnswerQuality> m_answerQualities; ///< By the address of the route.
     OpeningPatience m_openingPatience;
+    SteeringHealth m_health;
     std::size_t m_dataCentreInstances = 1;
     std::size_t m_allInstances = 1;
     TimePoint m_currentAt = TimePoint{};
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -3,6 +3,7 @@
 
 #include "jasminequay/Steering/directoryupdate.h"
 #include "jasminequay/Steering/openingwatch.h"
+#include "jasminequay/Steering/recenttime.h"
 #include "jasminequay/Steering/targetevidence.h"
 #include "jasminequay/Steering/targetpace.h"
 #include "jasminequay/Steering/targetrecord.h"
@@ -41,8 +42,10 @@
     TimePoint warmUpEndsAt; ///< When its slow start ends.
     TargetEvidence evidence;
     TargetPace pace;
+    RecentTime recentTime;
     OpeningWatch openings;
     std::uint32_t openFlows = 0; ///< The flows at this target in the flow table of this instance.
+    std::uint32_t endedFlows = 0; ///< Those whose callers have closed them.
 };
 
 /// The time limits of the directory.
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -323,6 +323,10 @@
             m_engine.targets().watch(*target);
         }
     }
+    // Other data centres see a target through other links and other callers.
+    if (isLocalDataCentre(sender.dataCentre)) {
+        m_engine.recordPeerFailures(message.sender, message.targetFailures, now);
+    }
     if (!message.status.isLoaded) {
         return actions;
     }
@@ -365,6 +369,15 @@
     return actions;
 }
 
+FleetActions FleetControl::reportTargetFailures(const std::vector<TargetFailures> &failures, TimePoint now)
+{
+    FleetMessage message = messageWith(ownDigest(), now);
+    message.targetFailures = failures;
+    FleetActions actions;
+    actions.messages.push_back({receivers(false), std::move(message)});
+    return actions;
+}
+
 void FleetControl::reconfigure(const std::vector<Endpoint> &seeds, Duration settingsBound, TimePoint now)
 {
     m_settings.seeds = seeds;
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -198,6 +198,7 @@
     std::vector<PendingReset> resets = m_engine.sweep(now, MaximumResetsPerTick);
     logResets(resets, now);
     reportTargetLosses(now);
+    reportTargetFailures(now);
     return resets;
 }
 
@@ -309,6 +310,20 @@
     }
 }
 
+/// Reports the failed answers that were observed since the last tick, and logs ejected targets.
+void SteeringControl::reportTargetFailures(TimePoint now)
+{
+    if (!m_engine.ejectsOutliers()) {
+        return;
+    }
+    const std::size_t peers = m_fleet.localInstanceCount() - 1;
+    const std::vector<TargetFailures> failures = m_engine.outliers().takeReports(peers, now);
+    if (!failures.empty() && peers > 0) {
+        perform(m_fleet.reportTargetFailures(failures, now));
+    }
+    m_outlierLog.logTransitions(m_engine, now);
+}
+
 void SteeringControl::reconfigure(const SteeringInstanceSettings &settings)
 {
     const bool needsRestart = settings.packets != m_settings.packets || settings.control != m_settings.control
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -82,6 +82,33 @@
     }
 }
 
+static void addOutliers(PageBuilder &page, SteeringControl &control, TimePoint now)
+{
+    OutlierEjection &outliers = control.engine().outliers();
+    prometheus::MetricFamily &ejected = page.family("targets_ejected",
+        "Targets that get no new flows, or single ones only, because of their answers, by service.",
+        prometheus::MetricType::Gauge);
+    prometheus::MetricFamily &failing = page.family("service_failing",
+        "Whether so many answers of a service fail that no target is ejected.",
+        prometheus::MetricType::Gauge);
+    for (const std::string &service : outliers.services()) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({"service", service});
+        metric.gauge.value = static_cast<double>(outliers.ejectedCount(service, now));
+        ejected.metric.push_back(metric);
+        metric.gauge.value = outliers.isServiceFailing(service, now) ? 1 : 0;
+        failing.metric.push_back(metric);
+    }
+    const EjectionCounters &counters = outliers.counters();
+    page.counter("target_failures_total", "Failed or overdue answers of targets.", counters.failures);
+    page.counter("target_failures_reported_total", "Failed or overdue answers that peers reported.",
+        counters.peerFailures);
+    page.counter("target_reports_outdated_total", "Reports of peers that were too old to count.",
+        counters.outdatedReports);
+    page.counter("target_ejections_total", "Targets ejected because of their answers.", counters.ejections);
+    page.counter("target_readmissions_total", "Ejected targets that were readmitted.", counters.readmissions);
+}
+
 static void addDirectoryState(PageBuilder &page, SteeringControl &control, TimePoint now)
 {
     const FleetControl &fleet = control.fleet();
@@ -134,6 +161,7 @@
     addDecisions(page, control.engine().counters());
     addLoads(page, control, now);
     addTargets(page, control, now);
+    addOutliers(page, control, now);
     addDirectoryState(page, control, now);
     addCounters(page, control);
     page.counter("log_lines_left_out_total", "Log lines that were left out.", logLinesLeftOut);
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -167,6 +167,12 @@
         body.set_target_key(loss.targetKey);
         body.set_verdict(static_cast<std::uint32_t>(loss.verdict));
     }
+    for (const TargetFailures &failures : news.targetFailures) {
+        wire::WireTargetFailures &body = *wire.add_target_failures();
+        body.set_target_key(failures.targetKey);
+        body.set_count(failures.count);
+        body.set_age_ms(milliseconds(failures.age));
+    }
     const std::string message = wire.SerializeAsString();
     const std::uint64_t checksum = hashText(message);
     std::string bytes(NewsMark);
@@ -206,6 +212,10 @@
         }
         news.targetLosses.push_back({loss.target_key(), static_cast<TargetVerdict>(loss.verdict())});
     }
+    for (const wire::WireTargetFailures &failures : wire.target_failures()) {
+        news.targetFailures.push_back(
+            {failures.target_key(), failures.count(), std::chrono::milliseconds(failures.age_ms())});
+    }
     return news;
 }
 
--- /dev/null
+++ b/lib/Steering/expectedtime.cpp
@@ -0,0 +1,200 @@
+#include "jasminequay/Steering/expectedtime.h"
+
+#include "jasminequay/Support/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminequay
+{
+
+/// Recent times below this multiple of the usual time are equal: the times of single requests vary by as much.
+constexpr double SignificantTime = 2.5;
+
+/// The part of a request that an open flow without one counts for.
+constexpr double IdleFlowWeight = 0.1;
+
+/// The share of its slots that counts while a target is in its slow start.
+constexpr double WarmUpSlotShare = 0.6;
+
+/// The weight of one answer in the recent time of a data centre.
+constexpr double DataCentreAnswerWeight = 0.1;
+
+/// The network delay of a data centre that has not answered yet, and the least one of other data centres.
+/// The least one keeps work in its own data centre where the delay cannot be told from the variation of its
+/// measurement.
+constexpr double UnknownDelay = 0.02;
+constexpr double MinimumRemoteDelay = 0.001;
+
+/// The usual time of a route is the plain mean of this many answers at first.
+constexpr std::uint32_t FirstAnswers = 50;
+
+/// Later ones move it by this part of their distance, of which at most a factor of two counts. A surge of some
+/// seconds must not become usual.
+constexpr double UsualTimeWeight = 1.0 / 2000;
+
+constexpr std::chrono::duration<double> MinimumAnswerTime{1e-4};
+
+void UsualTime::record(Duration time)
+{
+    const std::chrono::duration<double> bounded = std::max<std::chrono::duration<double>>(time, MinimumAnswerTime);
+    const double distance = std::log(bounded.count()) - m_meanLogarithm;
+    if (m_count < FirstAnswers) {
+        ++m_count;
+        m_meanLogarithm += distance / m_count;
+        return;
+    }
+    m_meanLogarithm += UsualTimeWeight * std::clamp(distance, -std::log(2.0), std::log(2.0));
+}
+
+double UsualTime::seconds() const
+{
+    return m_count == 0 ? 0 : std::exp(m_meanLogarithm);
+}
+
+void NetworkDelay::record(Duration time)
+{
+    constexpr double DecreaseWeight = 0.25;
+    constexpr double IncreaseWeight = 1.0 / 64;
+    const double sample = std::chrono::duration<double>(time).count();
+    if (!m_isKnown) {
+        m_isKnown = true;
+        m_seconds = sample;
+        return;
+    }
+    m_seconds += (sample < m_seconds ? DecreaseWeight : IncreaseWeight) * (sample - m_seconds);
+}
+
+void ExpectedTimes::record(double relativeTime, KnownTarget &target, TimePoint now)
+{
+    target.recentTime.record(relativeTime, now);
+    m_recentTimes
+        .try_emplace({target.record.service, target.record.dataCentre}, RecentTime(DataCentreAnswerWeight))
+        .first->second.record(relativeTime, now);
+}
+
+void ExpectedTimes::recordAnswer(Endpoint route, KnownTarget &target, Duration time, TimePoint now)
+{
+    UsualTime &usual = m_usualTimes[route];
+    usual.record(time);
+    record(std::chrono::duration<double>(time).count() / usual.seconds(), target, now);
+}
+
+void ExpectedTimes::recordOverdue(Endpoint route, KnownTarget &target, Duration time, TimePoint now)
+{
+    const auto usual = m_usualTimes.find(route);
+    if (usual != m_usualTimes.end()) {
+        record(std::chrono::duration<double>(time).count() / usual->second.seconds(), target, now);
+    }
+}
+
+void ExpectedTimes::recordOpening(const std::string &dataCentre, Duration time)
+{
+    m_delays[dataCentre].record(time);
+}
+
+/// Returns the recent answer time of the data centre of a target, for targets without recent answers.
+double ExpectedTimes::dataCentreTime(const KnownTarget &target, TimePoint now) const
+{
+    const auto found = m_recentTimes.find(std::pair(target.record.service, target.record.dataCentre));
+    return found == m_recentTimes.end() ? 1 : found->second.value(1, now);
+}
+
+static double significantTime(const KnownTarget &target, double expected, TimePoint now)
+{
+    return std::max(target.recentTime.value(expected, now), SignificantTime);
+}
+
+double ExpectedTimes::relativeTime(const KnownTarget &target, TimePoint now) const
+{
+    return significantTime(target, dataCentreTime(target, now), now);
+}
+
+double ExpectedTimes::networkDelay(std::string_view own, std::string_view dataCentre) const
+{
+    if (dataCentre == own) {
+        return 0;
+    }
+    const auto remote = m_delays.find(dataCentre);
+    const auto local = m_delays.find(own);
+    if (remote == m_delays.end() || local == m_delays.end()) {
+        return UnknownDelay;
+    }
+    return std::max(remote->second.seconds() - local->second.seconds(), MinimumRemoteDelay);
+}
+
+static double loadOf(const KnownTarget &target, TimePoint now)
+{
+    const double slots = std::max<std::uint32_t>(target.record.slots, 1);
+    const double usableSlots = now < target.warmUpEndsAt ? slots * WarmUpSlotShare : slots;
+    const double requests = target.pace.inFlight();
+    const double flows = target.openFlows - std::min(target.endedFlows, target.openFlows);
+    return (IdleFlowWeight * (flows + 1) + (1 - IdleFlowWeight) * requests) / usableSlots;
+}
+
+static bool isPreferredTie(const KnownTarget &left, const KnownTarget &right, std::uint64_t flowHash)
+{
+    return hashWords(flowHash, left.key) > hashWords(flowHash, right.key);
+}
+
+/// Returns the best target of each data centre. The load decides only within a data centre: single requests
+/// and idle flows, which vary between targets, must not move work to another one.
+ExpectedTimes::Candidates ExpectedTimes::bestByDataCentre(
+    const std::vector<KnownTarget *> &targets, const ExpectedTimeRequest &request, TimePoint now) const
+{
+    Candidates candidates;
+    for (KnownTarget *const target : targets) {
+        const auto [position, isNew] = candidates.try_emplace(target->record.dataCentre);
+        Candidate &best = position->second;
+        if (isNew) {
+            best.unprovedTime = dataCentreTime(*target, now);
+        }
+        best.inFlight += target->pace.inFlight();
+        best.slots += target->record.slots;
+        const double time = significantTime(*target, best.unprovedTime, now);
+        const double loadedTime = time * (1 + loadOf(*target, now));
+        const bool isBetter = best.target == nullptr || loadedTime < best.loadedTime
+            || (loadedTime == best.loadedTime && isPreferredTie(*target, *best.target, request.flowHash));
+        if (isBetter) {
+            best.target = target;
+            best.time = time;
+            best.loadedTime = loadedTime;
+        }
+    }
+    return candidates;
+}
+
+/// Returns the wait for this instance's own requests at a remote data centre, relative to the usual time. The
+/// other instances are assumed to have as many there. It keeps the instances from moving all their work at
+/// once; in the own data centre the answer times show the queue.
+double ExpectedTimes::remoteWait(const Candidate &candidate, const ExpectedTimeRequest &request) const
+{
+    if (candidate.target->record.dataCentre == request.dataCentre) {
+        return 0;
+    }
+    const double shareOfSlots
+        = std::max(candidate.slots / static_cast<double>(std::max<std::size_t>(request.allInstances, 1)), 1.0);
+    return std::max(candidate.inFlight / shareOfSlots - 1, 0.0);
+}
+
+KnownTarget *ExpectedTimes::choose(
+    const std::vector<KnownTarget *> &targets, const ExpectedTimeRequest &request, TimePoint now) const
+{
+    const auto usual = m_usualTimes.find(request.route);
+    const double usualTime = usual == m_usualTimes.end() ? 0 : usual->second.seconds();
+    KnownTarget *chosen = nullptr;
+    double lowest = 0;
+    for (const auto &[dataCentre, candidate] : bestByDataCentre(targets, request, now)) {
+        const double expected = usualTime * (candidate.time + remoteWait(candidate, request))
+            + networkDelay(request.dataCentre, dataCentre);
+        const bool isBetter = chosen == nullptr || expected < lowest
+            || (expected == lowest && isPreferredTie(*candidate.target, *chosen, request.flowHash));
+        if (isBetter) {
+            chosen = candidate.target;
+            lowest = expected;
+        }
+    }
+    return chosen;
+}
+
+} // namespace jasminequay
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -121,6 +121,7 @@
     if (target != nullptr && state.isRequestInFlight) {
         target->pace.recordRequestEnd();
     }
+    forgetEnd(state, target);
     state.isRequestInFlight = false;
     state.target = 0;
 }
@@ -146,6 +147,7 @@
     if (isCopy && previous != nullptr) {
         previous->evidence.recordUnansweredOpening(now);
         m_targets.watch(*previous);
+        markOverdue(packet.flow, *known, known->sentAt, now);
     }
     const auto [target, token, isFull] = place(*route, packet, isCopy ? known->target : 0, now);
     if (isFull) {
@@ -165,6 +167,8 @@
     state.acknowledged = 0;
     state.retransmissions = 0;
     state.isResponsePending = false;
+    forgetEnd(state, target);
+    watchOpening(packet.flow, state, now);
     target->openings.recordOpening(now);
     m_targets.openingsOf(target->record.dataCentre).recordOpening(now);
     return makeForward(*target, token, isMoved ? SteeringCause::PlacedAgain : SteeringCause::Placed);
@@ -272,6 +276,7 @@
         m_targets.openingsOf(target.record.dataCentre).recordProgress(now);
         if (wasOpening) {
             m_openingPatience.recordAnswer(now - state.sentAt);
+            recordOpeningTime(state, target, now);
         }
         state.progressAt = now;
         state.retransmissions = 0;
@@ -291,6 +296,7 @@
         if (packet.dataSize > 0 && !state.isResponsePending) {
             state.isResponsePending = true;
             beginRequest(state, target, now);
+            watchRequest(packet.flow, state, now);
         }
     } else if (isNew || isAcknowledging) {
         state.sentAt = now;
@@ -303,10 +309,12 @@
     }
     state.seenAt = now;
     state.stage = packet.isEnd ? FlowStage::Ending : (wasOpening ? FlowStage::Open : state.stage);
+    countEnd(state, target);
 }
 
 std::vector<PendingReset> SteeringEngine::sweep(TimePoint now, std::size_t limit)
 {
+    checkHealth(now);
     m_targets.expire(now, [this](std::uint64_t key) {
         for (auto &[flow, state] : m_flows.flows()) {
             state.target = state.target == key ? 0 : state.target;
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -47,8 +47,8 @@
     if (route == nullptr || route->objective <= Duration::zero()) {
         return;
     }
-    [[maybe_unused]] const AnswerVerdict verdict
-        = judgeAnswer(flow, answerBytes, now - state.requestStartedAt, now);
+    const AnswerVerdict verdict = judgeAnswer(flow, answerBytes, now - state.requestStartedAt, now);
+    recordOutcome(flow, state, target, verdict, now);
     const double share = std::chrono::duration<double>(now - state.requestStartedAt)
         / std::chrono::duration<double>(route->objective);
     target.pace.recordResponse(share, now);
@@ -117,6 +117,7 @@
     Placement placement;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
         ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent};
+        addHealth(route, request);
         unsigned collisions = 0;
         while (KnownTarget *const target
             = chooseTarget(m_targets.targetsOfService(service->service), request, now)) {
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -25,8 +25,12 @@
 /// The share of lapsed entries above which the store is assumed to have failed rather than the targets.
 constexpr double MassLapseShare = 0.34;
 
+/// The share of usable targets above which ejection is ignored. The cap of OutlierEjection counts all targets
+/// of the service, of which many may be draining or lost.
+constexpr double MaximumEjectedShare = 0.4;
+
 /// Ranks targets from the most to the least preferred.
-enum class TargetRank : std::uint8_t { Good, Lapsed, Unanswered, Suspect, Avoided, Lost, Draining };
+enum class TargetRank : std::uint8_t { Trial, Good, Lapsed, Unanswered, Suspect, Ejected, Avoided, Lost, Draining };
 
 static bool contains(const std::vector<std::string> &names, const std::string &name)
 {
@@ -62,6 +66,41 @@
     return target.presence == TargetPresence::Lapsed ? TargetRank::Lapsed : TargetRank::Good;
 }
 
+/// Returns the rank of a target whose rank without ejection is `rank`. Evidence that it is lost or draining,
+/// and an opening of the same flow that it left unanswered, weigh more than ejection. On probation it is tried
+/// by selected flows that no other target has kept waiting.
+static TargetRank rankWithEjection(
+    const KnownTarget &target, TargetRank rank, const ChoiceRequest &request, TimePoint now)
+{
+    const bool isConcerned = request.outliers != nullptr && rank < TargetRank::Ejected
+        && request.outliers->stage(target.key, now) != EjectionStage::Admitted;
+    if (!isConcerned) {
+        return rank;
+    }
+    const bool mayTry = rank == TargetRank::Good && request.isRepeatable && request.avoidedTarget == 0
+        && target.record.dataCentre == request.dataCentre;
+    return mayTry && request.outliers->isTrial(target.key, request.flowHash, now) ? TargetRank::Trial
+                                                                                  : TargetRank::Ejected;
+}
+
+/// Returns whether so many targets are ejected that ejection is ignored.
+static bool isEjectionIgnored(
+    const std::vector<KnownTarget *> &targets, const ChoiceRequest &request, TimePoint now)
+{
+    if (request.outliers == nullptr) {
+        return false;
+    }
+    std::size_t usable = 0;
+    std::size_t ejected = 0;
+    for (const KnownTarget *const target : targets) {
+        const bool isUsable = !target->record.isDraining && !target->evidence.isLost(now);
+        usable += isUsable ? 1 : 0;
+        ejected
+            += isUsable && request.outliers->stage(target->key, now) != EjectionStage::Admitted ? 1 : 0;
+    }
+    return static_cast<double>(ejected) > MaximumEjectedShare * static_cast<double>(usable);
+}
+
 static double costOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
     const double slots
@@ -74,6 +113,24 @@
     return target.record.dataCentre == request.dataCentre ? cost : cost * RemoteCostFactor;
 }
 
+/// Chooses by expected time among the targets of the best rank; null if it is that of draining targets.
+static KnownTarget *chooseByExpectedTime(const std::vector<std::pair<TargetRank, KnownTarget *>> &ranked,
+    const ChoiceRequest &request, TimePoint now)
+{
+    TargetRank best = TargetRank::Draining;
+    for (const auto &[rank, target] : ranked) {
+        best = std::min(best, rank);
+    }
+    std::vector<KnownTarget *> candidates;
+    for (const auto &[rank, target] : ranked) {
+        if (rank == best && rank != TargetRank::Draining) {
+            candidates.push_back(target);
+        }
+    }
+    return request.expectedTimes->choose(
+        candidates, {request.route, request.dataCentre, request.flowHash, request.allInstances}, now);
+}
+
 static std::uint64_t tieBreaker(const KnownTarget &target, std::uint64_t flowHash)
 {
     return hashWords(flowHash, target.key);
@@ -85,11 +142,13 @@
     std::vector<std::pair<TargetRank, KnownTarget *>> ranked;
     std::size_t suspects = 0;
     std::size_t lapsed = 0;
+    const bool mayEject = !isEjectionIgnored(targets, request, now);
     for (KnownTarget *const target : targets) {
         if (contains(request.fullDataCentres, target->record.dataCentre)) {
             continue;
         }
-        const TargetRank rank = rankOf(*target, request, now);
+        TargetRank rank = rankOf(*target, request, now);
+        rank = mayEject ? rankWithEjection(*target, rank, request, now) : rank;
         ranked.emplace_back(rank, target);
         suspects += rank == TargetRank::Suspect ? 1 : 0;
         lapsed += rank == TargetRank::Lapsed ? 1 : 0;
@@ -102,6 +161,9 @@
             = (rank == TargetRank::Suspect && isPanic) || (rank == TargetRank::Lapsed && isMassLapse);
         rank = isIgnored ? TargetRank::Good : rank;
     }
+    if (request.expectedTimes != nullptr) {
+        return chooseByExpectedTime(ranked, request, now);
+    }
     const auto isBetter = [&](const auto &left, const auto &right) {
         if (left.first != right.first) {
             return left.first < right.first;
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -33,6 +33,7 @@
     news.status = {true, 71, 7, std::chrono::milliseconds(250), true, 68};
     news.changes = {69, 71, 70, {sampleTarget(1)}, {{"i-9", 70}}};
     news.targetLosses = {{0x1234, TargetVerdict::Unreachable}};
+    news.targetFailures = {{0x5678, 3, std::chrono::milliseconds(40)}};
     return news;
 }
 
@@ -75,6 +76,10 @@
     EXPECT_TRUE(news->changes.targets[0].isDraining);
     EXPECT_EQ(news->changes.removals[0].revision, 70U);
     EXPECT_EQ(news->targetLosses[0].verdict, TargetVerdict::Unreachable);
+    ASSERT_EQ(news->targetFailures.size(), 1U);
+    EXPECT_EQ(news->targetFailures[0].targetKey, 0x5678U);
+    EXPECT_EQ(news->targetFailures[0].count, 3U);
+    EXPECT_EQ(news->targetFailures[0].age, std::chrono::milliseconds(40));
 }
 
 TEST(FleetCodec, AReadersMessageIsSmall)
@@ -82,9 +87,19 @@
     FleetMessage news = sampleNews();
     news.changes = {};
     news.targetLosses.clear();
+    news.targetFailures.clear();
     EXPECT_LE(encodeNews(news).size(), 128U);
 }
 
+/// Guards against control traffic beyond its budget: a report goes to all instances of a data centre.
+TEST(FleetCodec, AReportOfAFailureIsSmall)
+{
+    FleetMessage news = sampleNews();
+    news.changes = {};
+    news.targetLosses.clear();
+    EXPECT_LE(encodeNews(news).size(), 160U);
+}
+
 TEST(FleetCodec, WhatNoPeerSentIsRefused)
 {
     const std::string good = encodeNews(sampleNews());
