--- a/include/jasminequay/Node/outlierlog.h
+++ b/include/jasminequay/Node/outlierlog.h
@@ -10,18 +10,11 @@
 class OutlierLog
 {
 public:
-    /// Logs the changes since the last call.
+    /// Logs the changes since the last call. Those that exceed the bound appear in the counters only.
     void logTransitions(SteeringEngine &engine, TimePoint now);
 
-    /// Returns the number of changes that were not logged because there were too many.
-    [[nodiscard]] std::uint64_t unlogged() const
-    {
-        return m_unlogged;
-    }
-
 private:
     SlidingCount m_lines;
-    std::uint64_t m_unlogged = 0;
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/expectedtime.h
+++ b/include/jasminequay/Steering/expectedtime.h
@@ -29,8 +29,8 @@
     std::uint32_t m_count = 0;
 };
 
-/// The time that the network takes to and from the targets of a data centre: a low quantile of the times until
-/// openings are answered, so that answers that are processed late do not count.
+/// The time that the network takes to and from the targets of a data centre: a low quantile of the times
+/// until openings are answered, so that answers that are processed late do not count.
 class NetworkDelay
 {
 public:
@@ -52,6 +52,25 @@
     double m_seconds = 0;
 };
 
+/// The share of new flows that leave their data centre. It follows the expected times in small steps: if all
+/// flows went to the better data centre, they would only move the queue there, and back.
+class SpillShare
+{
+public:
+    /// Adapts the share, at most once in an interval. The times are the expected ones of the own data centre
+    /// and of the best other one.
+    void update(double localTime, double remoteTime, TimePoint now);
+
+    [[nodiscard]] double value() const
+    {
+        return m_share;
+    }
+
+private:
+    double m_share = 0;
+    TimePoint m_updatedAt;
+};
+
 /// The parameters of a choice by expected time.
 struct ExpectedTimeRequest {
     Endpoint route; ///< The address of the route of the flow.
@@ -60,10 +79,10 @@
     std::size_t allInstances = 1; ///< The number of instances that share the targets of other data centres.
 };
 
-/// Measures answer times and network delays, and chooses targets by them. The expected time of a target is the
-/// wait for the requests in flight there, its recent answer time and the network delay to its data centre.
-/// Handles the load patterns in which the targets of a data centre become slower (surge in one data centre,
-/// lost capacity) or single targets do, and leaves work in its own data centre otherwise.
+/// Measures answer times and network delays, and chooses targets by them. The expected time of a target is
+/// the wait for the requests in flight there, its recent answer time and the network delay to its data
+/// centre. Handles the load patterns in which the targets of a data centre become slower (surge in one data
+/// centre, lost capacity) or single targets do, and leaves work in its own data centre otherwise.
 class ExpectedTimes
 {
 public:
@@ -73,28 +92,26 @@
     /// Records that a request has had no answer for `time`.
     void recordOverdue(Endpoint route, KnownTarget &target, Duration time, TimePoint now);
 
+    /// Records an error or a refusal, which takes little time but shows that requests are not served.
+    void recordFailure(KnownTarget &target, TimePoint now);
+
     /// Records how long an opening took to be answered by a data centre.
     void recordOpening(const std::string &dataCentre, Duration time);
 
     /// Returns the target with the lowest expected time among equally preferred ones; null if there are none.
     [[nodiscard]] KnownTarget *choose(
-        const std::vector<KnownTarget *> &targets, const ExpectedTimeRequest &request, TimePoint now) const;
-
-    /// Returns the recent answer time of a target, relative to the usual time. Times that do not differ
-    /// significantly from it are equal.
-    [[nodiscard]] double relativeTime(const KnownTarget &target, TimePoint now) const;
+        const std::vector<KnownTarget *> &targets, const ExpectedTimeRequest &request, TimePoint now);
 
     /// Returns the additional time in seconds for requests to another data centre than `own`.
     [[nodiscard]] double networkDelay(std::string_view own, std::string_view dataCentre) const;
 
 private:
-    /// The best target of a data centre, and the requests of this instance there.
+    /// The best target of a data centre, and the state of the data centre.
     struct Candidate {
         KnownTarget *target = nullptr;
-        double time = 0; ///< The recent time of the target, relative to the usual time.
-        double loadedTime = 0; ///< The same with the wait for the requests in flight there.
-        double unprovedTime = 1; ///< The recent time of targets without recent answers.
-        double inFlight = 0;
+        double time = 0; ///< The expected time at the target, relative to the usual time.
+        double recentTime = 1; ///< The recent time of the data centre, relative to the usual time.
+        double inFlight = 0; ///< The requests of this instance at all its targets.
         double slots = 0;
     };
     using Candidates = std::map<std::string_view, Candidate>;
@@ -103,12 +120,15 @@
     void record(double relativeTime, KnownTarget &target, TimePoint now);
     [[nodiscard]] Candidates bestByDataCentre(
         const std::vector<KnownTarget *> &targets, const ExpectedTimeRequest &request, TimePoint now) const;
+    [[nodiscard]] double expectedTime(
+        std::string_view dataCentre, const Candidate &candidate, const ExpectedTimeRequest &request) const;
     [[nodiscard]] double remoteWait(const Candidate &candidate, const ExpectedTimeRequest &request) const;
 
     std::map<Endpoint, UsualTime> m_usualTimes; ///< By the address of the route.
     /// By service and data centre.
     std::map<std::pair<std::string, std::string>, RecentTime, std::less<>> m_recentTimes;
     std::map<std::string, NetworkDelay, std::less<>> m_delays; ///< By data centre.
+    std::map<std::string, SpillShare, std::less<>> m_spillShares; ///< By service.
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/outlierejection.h
+++ b/include/jasminequay/Steering/outlierejection.h
@@ -53,9 +53,9 @@
 /// Decides which targets are ejected. It handles single targets that fail in one way or another (errors,
 /// hanging, no answers to openings, slow answers, going up and down) among others that work. Failures that
 /// many targets of a service have in common (overload, a network partition, packet loss) eject nothing: the
-/// failures of a target must exceed a multiple of the mean of the others in its data centre, and nothing is ejected while
-/// many of these fail or a large share of the service's answers does. One instance alone observes few answers of each target, so the
-/// failures that peers of the data centre report count as well.
+/// failures of a target must exceed a multiple of the mean of the others in its data centre, and nothing is
+/// ejected while many of these fail or a large share of the service's answers does. One instance alone
+/// observes few answers of each target, so the failures that peers of the data centre report count as well.
 class OutlierEjection
 {
 public:
@@ -144,8 +144,8 @@
 
     [[nodiscard]] Background backgroundOf(const OutlierCandidate &target, TimePoint now) const;
     void liftRecentEjections(std::string_view service, TimePoint now);
-    void addObservation(const OutlierCandidate &target, State &state, const Observation &observation,
-        TimePoint now);
+    void addObservation(
+        const OutlierCandidate &target, State &state, const Observation &observation, TimePoint now);
     void considerEjection(const OutlierCandidate &target, State &state, TimePoint now);
     [[nodiscard]] bool hasRoomFor(const OutlierCandidate &target, TimePoint now) const;
     void eject(std::uint64_t key, State &state, TimePoint now);
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -122,8 +122,7 @@
     }
 
     /// Records the failed answers that a peer of the own data centre has observed. `peer` is its name.
-    void recordPeerFailures(
-        std::string_view peer, const std::vector<TargetFailures> &reports, TimePoint now);
+    void recordPeerFailures(std::string_view peer, const std::vector<TargetFailures> &reports, TimePoint now);
 
     /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
@@ -177,7 +176,7 @@
     [[nodiscard]] OutlierCandidate candidateOf(const KnownTarget &target);
     [[nodiscard]] bool isJudged(TimePoint sentAt, TimePoint now) const;
     [[nodiscard]] Duration overdueAfter(Endpoint service) const;
-    void addHealth(const Route &route, ChoiceRequest &request) const;
+    void addHealth(const Route &route, ChoiceRequest &request);
     void watchOpening(const SteeredFlow &flow, FlowState &state, TimePoint now);
     void watchRequest(const SteeredFlow &flow, FlowState &state, TimePoint now);
     void recordOpeningTime(const FlowState &state, const KnownTarget &target, TimePoint now);
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -24,7 +24,7 @@
     std::vector<std::string> silentDataCentres; ///< Data centres that may be out of reach.
     const OutlierEjection *outliers = nullptr; ///< The ejected targets; null if none are ejected.
     /// Chooses by expected time instead of flows per slot; null if not.
-    const ExpectedTimes *expectedTimes = nullptr;
+    ExpectedTimes *expectedTimes = nullptr;
     Endpoint route{}; ///< The address of the flow's route.
     std::size_t allInstances = 1; ///< The number of instances in all data centres.
     bool isRepeatable = false; ///< Whether the requests of the flow's route may be repeated.
@@ -33,11 +33,12 @@
     [[nodiscard]] bool isUnanswering(const KnownTarget &target, TimePoint now) const;
 };
 
-/// Chooses the target with the lowest expected time, or the fewest flows per slot, weighted by response times, among those that accept new
-/// flows; null if there is none. Targets in the instance's data centre are preferred unless they are much
-/// more loaded. Targets that leave an opening packet unanswered, and those of silent data centres, come after
-/// all others without evidence against them. Suspect targets are avoided unless they are the majority of the
-/// service; ejected ones come after them unless they are over 40% of the usable ones. Ties are broken by rendezvous hashing.
+/// Chooses the target with the lowest expected time, or the fewest flows per slot, weighted by response
+/// times, among those that accept new flows; null if there is none. Targets in the instance's data centre are
+/// preferred unless they are much more loaded. Targets that leave an opening packet unanswered, and those of
+/// silent data centres, come after all others without evidence against them. Suspect targets are avoided
+/// unless they are the majority of the service; ejected ones come after them unless they are over 40% of the
+/// usable ones. Ties are broken by rendezvous hashing.
 KnownTarget *chooseTarget(
     const std::vector<KnownTarget *> &targets, const ChoiceRequest &request, TimePoint now);
 
--- a/lib/Node/outlierlog.cpp
+++ b/lib/Node/outlierlog.cpp
@@ -27,7 +27,6 @@
     for (const EjectionEvent &event : engine.outliers().takeEvents()) {
         const KnownTarget *const target = engine.targets().find(event.targetKey);
         if (target == nullptr || m_lines.sum(now) >= MaximumLinesPerSecond) {
-            ++m_unlogged;
             continue;
         }
         m_lines.add(1, now);
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -316,7 +316,7 @@
     if (!m_engine.ejectsOutliers()) {
         return;
     }
-    const std::size_t peers = m_fleet.localInstanceCount() - 1;
+    const std::size_t peers = std::max<std::size_t>(m_fleet.localInstanceCount(), 1) - 1;
     const std::vector<TargetFailures> failures = m_engine.outliers().takeReports(peers, now);
     if (!failures.empty() && peers > 0) {
         perform(m_fleet.reportTargetFailures(failures, now));
--- a/lib/Steering/outlierejection.cpp
+++ b/lib/Steering/outlierejection.cpp
@@ -19,8 +19,9 @@
 /// The number of failures that eject a target of a service in which nothing else fails.
 constexpr std::uint32_t MinimumFailures = 2;
 
-/// A target is ejected only if its failures exceed this multiple of the mean of the others in its data centre by one. In
-/// an overload or with packet loss all targets fail now and then, and some of them twice in a second.
+/// A target is ejected only if its failures exceed this multiple of the mean of the others in its data centre
+/// by one. In an overload or with packet loss all targets fail now and then, and some of them twice in a
+/// second.
 constexpr double MeanFactor = 3;
 
 /// The share of the other targets of a data centre with failures from which on a failure is common, and the
@@ -179,8 +180,8 @@
     }
 }
 
-void OutlierEjection::recordReport(const OutlierCandidate &target, std::uint64_t reporter,
-    const TargetFailures &failures, TimePoint now)
+void OutlierEjection::recordReport(
+    const OutlierCandidate &target, std::uint64_t reporter, const TargetFailures &failures, TimePoint now)
 {
     if (failures.age >= FailureLifetime || failures.age < Duration::zero() || failures.count == 0) {
         ++m_counters.outdatedReports;
@@ -207,8 +208,8 @@
     considerEjection(target, state, now);
 }
 
-/// Returns the recent failures at the other targets. The peer that reports the most of them is left out: it may
-/// be wrong, and in a common failure no single peer matters.
+/// Returns the recent failures at the other targets. The peer that reports the most of them is left out: it
+/// may be wrong, and in a common failure no single peer matters.
 OutlierEjection::Background OutlierEjection::backgroundOf(const OutlierCandidate &target, TimePoint now) const
 {
     std::map<std::uint64_t, std::uint32_t> failuresByReporter;
--- a/lib/Steering/steeringhealth.cpp
+++ b/lib/Steering/steeringhealth.cpp
@@ -55,7 +55,7 @@
 }
 
 /// Adds to the parameters of a choice what the answers of targets show.
-void SteeringEngine::addHealth(const Route &route, ChoiceRequest &request) const
+void SteeringEngine::addHealth(const Route &route, ChoiceRequest &request)
 {
     if (!m_settings.features.ejectsOutliers) {
         return;
@@ -97,13 +97,16 @@
 void SteeringEngine::recordOutcome(const SteeredFlow &flow, const FlowState &state, KnownTarget &target,
     AnswerVerdict verdict, TimePoint now)
 {
-    if (!isJudged(state.requestStartedAt, now) || state.isOverdue || target.presence == TargetPresence::Gone) {
+    if (!isJudged(state.requestStartedAt, now) || state.isOverdue
+        || target.presence == TargetPresence::Gone) {
         return;
     }
     const Duration time = now - state.requestStartedAt;
     const bool isLate = time >= overdueAfter(flow.service);
     if (isLate || verdict != AnswerVerdict::Failed) {
         m_health.times.recordAnswer(flow.service, target, time, now);
+    } else {
+        m_health.times.recordFailure(target, now);
     }
     if (isLate || verdict == AnswerVerdict::Failed) {
         m_health.outliers.recordFailure(candidateOf(target), state.requestStartedAt, now);
@@ -153,8 +156,8 @@
         const Duration patience = overdueAfter(address);
         for (const RequestWatch::Entry &entry : watch.takeOlderThan(patience, now)) {
             FlowState *const state = m_flows.find(entry.flow);
-            const bool isInFlight = state != nullptr && state->isRequestInFlight
-                && state->requestStartedAt == entry.sentAt;
+            const bool isInFlight
+                = state != nullptr && state->isRequestInFlight && state->requestStartedAt == entry.sentAt;
             if (isInFlight) {
                 markOverdue(entry.flow, *state, entry.sentAt, now);
             }
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -30,7 +30,17 @@
 constexpr double MaximumEjectedShare = 0.4;
 
 /// Ranks targets from the most to the least preferred.
-enum class TargetRank : std::uint8_t { Trial, Good, Lapsed, Unanswered, Suspect, Ejected, Avoided, Lost, Draining };
+enum class TargetRank : std::uint8_t {
+    Trial,
+    Good,
+    Lapsed,
+    Unanswered,
+    Suspect,
+    Ejected,
+    Avoided,
+    Lost,
+    Draining
+};
 
 static bool contains(const std::vector<std::string> &names, const std::string &name)
 {
@@ -67,8 +77,8 @@
 }
 
 /// Returns the rank of a target whose rank without ejection is `rank`. Evidence that it is lost or draining,
-/// and an opening of the same flow that it left unanswered, weigh more than ejection. On probation it is tried
-/// by selected flows that no other target has kept waiting.
+/// and an opening of the same flow that it left unanswered, weigh more than ejection. On probation it is
+/// tried by selected flows that no other target has kept waiting.
 static TargetRank rankWithEjection(
     const KnownTarget &target, TargetRank rank, const ChoiceRequest &request, TimePoint now)
 {
@@ -95,8 +105,7 @@
     for (const KnownTarget *const target : targets) {
         const bool isUsable = !target->record.isDraining && !target->evidence.isLost(now);
         usable += isUsable ? 1 : 0;
-        ejected
-            += isUsable && request.outliers->stage(target->key, now) != EjectionStage::Admitted ? 1 : 0;
+        ejected += isUsable && request.outliers->stage(target->key, now) != EjectionStage::Admitted ? 1 : 0;
     }
     return static_cast<double>(ejected) > MaximumEjectedShare * static_cast<double>(usable);
 }
--- a/unittests/Steering/outlierejectiontest.cpp
+++ b/unittests/Steering/outlierejectiontest.cpp
@@ -185,8 +185,8 @@
     EXPECT_EQ(stage(1), EjectionStage::Admitted);
 }
 
-/// Guards against ejections by refusals that an admission limit leaves over: they are below the share at which
-/// a service counts as failing, but spread over all targets.
+/// Guards against ejections by refusals that an admission limit leaves over: they are below the share at
+/// which a service counts as failing, but spread over all targets.
 TEST_F(OutlierEjectionTest, FailuresSpreadOverAllTargetsEjectFewOfThem)
 {
     std::size_t ejected = 0;
--- a/unittests/Steering/outlierenginetest.cpp
+++ b/unittests/Steering/outlierenginetest.cpp
@@ -1,8 +1,11 @@
 // Tests of the ejection of outliers by whole engines, with callers and targets in virtual time.
+#include "jasminequay/Steering/targetchoice.h"
 #include "outlierworld.h"
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace jasminequay::steering
 {
 
@@ -173,6 +176,89 @@
     EXPECT_EQ(world.ejections(), 0U);
 }
 
+/// A service with ten targets, of which some are ejected.
+class EjectedChoice : public testing::Test
+{
+protected:
+    EjectedChoice()
+    {
+        for (std::uint32_t number = 0; number < 10; ++number) {
+            directory.put(targetOf(number), Start);
+        }
+    }
+
+    KnownTarget &target(std::uint32_t number)
+    {
+        return *directory.find(targetOf(number).identity.key());
+    }
+
+    void eject(std::uint32_t number)
+    {
+        const OutlierCandidate candidate{target(number).key, "desk", "dc-1", 10, 10};
+        outliers.recordReport(candidate, 71, {candidate.key, 4, {}}, now);
+        outliers.recordReport(candidate, 72, {candidate.key, 4, {}}, now);
+    }
+
+    /// Returns the numbers of the targets that get a hundred flows.
+    std::set<std::uint64_t> chosen(bool isRepeatable = true)
+    {
+        std::set<std::uint64_t> found;
+        for (std::uint32_t caller = 0; caller < 100; ++caller) {
+            ChoiceRequest request{flowOf(caller).hash(), 0, "dc-1", {}, milliseconds(100), {}};
+            request.outliers = &outliers;
+            request.isRepeatable = isRepeatable;
+            found.insert(
+                chooseTarget(directory.targetsOfService("desk"), request, now)->record.identity.id - 1);
+        }
+        return found;
+    }
+
+    TargetDirectory directory;
+    OutlierEjection outliers;
+    TimePoint now = Start + seconds(1);
+};
+
+/// Guards against an ejected target that is taken before one that is only suspect, or after a lost one.
+TEST_F(EjectedChoice, EjectedTargetsRankBetweenSuspectAndLostOnes)
+{
+    eject(0);
+    for (std::uint32_t number = 1; number < 10; ++number) {
+        target(number).record.isDraining = number > 4;
+        target(number).evidence.recordUnansweredOpening(now);
+    }
+    EXPECT_EQ(chosen(), (std::set<std::uint64_t>{1, 2, 3, 4}));
+    for (std::uint32_t number = 1; number < 5; ++number) {
+        target(number).record.isDraining = number > 1;
+        for (unsigned probe = 0; probe < 3; ++probe) {
+            target(number).evidence.recordProbe(Reachability::Refused, now, now);
+        }
+    }
+    target(1).evidence.recordRetransmission(1, now);
+    ASSERT_TRUE(target(1).evidence.isLost(now));
+    EXPECT_EQ(chosen(), std::set<std::uint64_t>{0});
+}
+
+/// Guards against a few targets that get all the work while most of the others are ejected or draining.
+TEST_F(EjectedChoice, EjectionIsIgnoredAboveTwoFifthsOfTheUsableTargets)
+{
+    eject(0);
+    eject(1);
+    EXPECT_EQ(chosen().size(), 8U);
+    for (std::uint32_t number = 4; number < 10; ++number) {
+        target(number).record.isDraining = true;
+    }
+    EXPECT_EQ(chosen(), (std::set<std::uint64_t>{0, 1, 2, 3}));
+}
+
+/// Guards against requests that may run only once at a target that may still fail.
+TEST_F(EjectedChoice, OnlyRepeatableFlowsTryATargetOnProbation)
+{
+    eject(0);
+    now += seconds(1);
+    EXPECT_FALSE(chosen(false).contains(0));
+    EXPECT_TRUE(chosen(true).contains(0));
+}
+
 /// Guards against a changed behaviour of deployments that do not ask for the feature.
 TEST(OutlierFeature, WithoutTheFeatureNothingIsRecorded)
 {
--- a/unittests/UsersPlatform/packetheadtest.cpp
+++ b/unittests/UsersPlatform/packetheadtest.cpp
@@ -91,7 +91,7 @@
 TEST(PacketHeader, MutatedHeadersNeverCrashTheEngine)
 {
     std::mt19937_64 random(20261204);
-    SteeringEngine engine({"dc", 256, std::chrono::seconds(60), std::chrono::seconds(2), {}, {}});
+    SteeringEngine engine({"dc", 256, std::chrono::seconds(60), std::chrono::seconds(2), {}, {}, {}});
     RouteConfiguration routes;
     routes.version = 1;
     routes.routes.push_back({"r", {{0xc6120001}, 443}, RequestKind::Idempotent, {}, {{"desk", 1}}, {}, 0});
