--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -57,6 +57,7 @@
     if (route == nullptr || route->objective <= Duration::zero()) {
         return;
     }
+    recordOutcome(flow, state, target, verdict, now);
     const double share = std::chrono::duration<double>(now - state.requestStartedAt)
         / std::chrono::duration<double>(route->objective);
     target.pace.recordResponse(share, now);
@@ -126,6 +127,7 @@
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
         ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent,
             m_targets.evacuations().evacuatedDataCentres()};
+        addHealth(route, request);
         unsigned collisions = 0;
         while (KnownTarget *const target
             = chooseTarget(m_targets.targetsOfService(service->service), request, now)) {
