Limit the new flows of cold targets

Cause: a cold target counted 0.6 of its slots at each instance, so that all instances together could send it many times the requests that it bears.

Change: ColdTargetLimit divides the room that a service states for its cold targets among the instances of the target's data centre, without messages. Targets without room are left out, like full data centres; if no other target is left the opening is refused.

--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminequay/Fleet/fleetcontrol.h"
+#include "jasminequay/Node/coldwatch.h"
 #include "jasminequay/Node/loadwatch.h"
 #include "jasminequay/Node/peerchannel.h"
 #include "jasminequay/Node/steeringpath.h"
@@ -117,6 +118,7 @@
     FleetControl m_fleet;
     PeerChannel m_peers;
     LoadWatch m_loadWatch;
+    ColdWatch m_coldWatch;
     StoreCounters m_storeCounters;
     ProbeCounters m_probeCounters;
     bool m_isStoreFailing = false;
--- a/include/jasminequay/Settings/steeringinstancesettings.h
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -28,6 +28,8 @@
     Duration gracePeriod = std::chrono::seconds(6); ///< The time between SIGTERM and SIGKILL.
     Duration flowLifetime = std::chrono::seconds(60); ///< How long a silent flow is remembered.
     std::uint32_t storeReadsPerSecond = 2000; ///< The budget of the whole fleet.
+    double coldFactor = 1; ///< The factor in the bound on the new flows of a cold target.
+    double coldSlack = 0; ///< The flows per second that this bound has beyond the factor.
     std::uint32_t flowMemory = 65536; ///< The flows that are remembered.
     std::string logLevel = "info";
     /// Where peers' messages and control pages arrive, if peers know the instance by a translated address.
--- a/include/jasminequay/Steering/route.h
+++ b/include/jasminequay/Steering/route.h
@@ -39,6 +39,12 @@
     std::uint32_t priority = 0; ///< Zero is the highest.
 };
 
+/// How a service's targets are treated while they are cold.
+struct SlowStart {
+    Duration duration{}; ///< How long a target is cold after a time without flows; zero if unknown.
+    double flowsPerSecond = 0; ///< The new flows that a cold target bears; zero for no limit.
+};
+
 /// One version of all routes.
 struct RouteConfiguration {
     std::uint64_t version = 0; ///< Increases with each change; zero before the first one.
@@ -46,6 +52,7 @@
     std::vector<Route> routes;
     /// The services that are declared, with or without a route, and the health check path of their targets.
     std::map<std::string, std::string> healthPaths;
+    std::map<std::string, SlowStart> slowStarts = {}; ///< Of the services that state one.
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -1,6 +1,7 @@
 // Decides where each packet of a caller goes, by the token that it carries. Uses no clock, socket or thread.
 #pragma once
 
+#include "jasminequay/Steering/coldtargetlimit.h"
 #include "jasminequay/Steering/flowmemory.h"
 #include "jasminequay/Steering/routetable.h"
 #include "jasminequay/Steering/serviceload.h"
@@ -106,6 +107,18 @@
     /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
 
+    /// Marks the targets of a data centre that limit their cold start as cold, as they have had no flows
+    /// until now: an evacuation has ended.
+    void restartWarmUp(const std::string &dataCentre, TimePoint now);
+
+    [[nodiscard]] ColdTargetLimit &coldTargets()
+    {
+        return m_coldTargets;
+    }
+    [[nodiscard]] const ColdTargetLimit &coldTargets() const
+    {
+        return m_coldTargets;
+    }
     [[nodiscard]] const RouteTable &routes() const
     {
         return m_routes;
@@ -147,6 +160,7 @@
         const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void trackProgress(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
+    [[nodiscard]] bool needsRoom(const FlowState &state, const KnownTarget &target, TimePoint now);
     void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
     void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now);
     [[nodiscard]] bool admits(const Route &route, const TargetRecord &target, bool isSpilled, TimePoint now);
@@ -162,6 +176,7 @@
     SteeringSettings m_settings;
     RouteTable m_routes;
     TargetDirectory m_targets;
+    ColdTargetLimit m_coldTargets;
     FlowMemory m_flows;
     SteeringCounters m_counters{};
     ServiceLoads m_loads;
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -20,9 +20,15 @@
     /// How long an opening packet may go unanswered before its target gets no more of them.
     Duration openingPatience = std::chrono::milliseconds(100);
     std::vector<std::string> silentDataCentres; ///< Data centres that may be out of reach.
+    /// The keys of cold targets that may get no flow now, in ascending order; they are left out.
+    std::vector<std::uint64_t> withoutRoom = {};
+    bool areColdLimited = false; ///< Whether the flows of cold targets are limited.
 
     /// Returns whether a target leaves opening packets unanswered, or may be out of reach.
     [[nodiscard]] bool isUnanswering(const KnownTarget &target, TimePoint now) const;
+
+    /// Returns whether a target may not be chosen because it, or its data centre, is full.
+    [[nodiscard]] bool isLeftOut(const KnownTarget &target) const;
 };
 
 /// Chooses the target with the fewest flows per slot, weighted by response times, among those that accept new
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -39,6 +39,9 @@
     TimePoint presenceSince; ///< When the presence last changed.
     TimePoint drainingSince; ///< When it was first seen draining, if it is draining.
     TimePoint warmUpEndsAt; ///< When its slow start ends.
+    /// Until when the limit of its service for cold targets applies. Unlike `warmUpEndsAt`, it never becomes
+    /// earlier, and does not become later when the same entry is read again.
+    TimePoint coldUntil;
     TargetEvidence evidence;
     TargetPace pace;
     OpeningWatch openings;
@@ -76,6 +79,9 @@
     /// Adds an ended target that a peer still keeps, unless it is known here.
     void addTombstone(const TargetRecord &record, TimePoint now);
 
+    /// Marks a target as cold for some time, as it has had no flows.
+    void markCold(std::uint64_t key, Duration duration, TimePoint now);
+
     /// Marks a target as ended because another process answers at its address.
     void markReplaced(std::uint64_t key, TimePoint now);
 
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -90,7 +90,8 @@
             continue;
         }
         TargetRecord record = target.record;
-        record.warmUpLeft = std::max<Duration>(target.warmUpEndsAt - now, Duration::zero());
+        const TimePoint coldUntil = std::max(target.warmUpEndsAt, target.coldUntil);
+        record.warmUpLeft = std::max<Duration>(coldUntil - now, Duration::zero());
         (isGone ? response.update.tombstones : response.update.targets).push_back(std::move(record));
     }
     if (after > 0 && !isEachRemovalNamed) {
--- a/lib/Node/pagebuilder.h
+++ b/lib/Node/pagebuilder.h
@@ -5,8 +5,8 @@
 #include <prometheus/text_serializer.h>
 
 #include <cstdint>
+#include <deque>
 #include <string>
-#include <vector>
 
 namespace jasminequay
 {
@@ -43,11 +43,11 @@
 
     [[nodiscard]] std::string text() const
     {
-        return prometheus::TextSerializer().Serialize(m_families);
+        return prometheus::TextSerializer().Serialize({m_families.begin(), m_families.end()});
     }
 
 private:
-    std::vector<prometheus::MetricFamily> m_families;
+    std::deque<prometheus::MetricFamily> m_families; ///< A deque, as references to families are handed out.
 };
 
 } // namespace jasminequay
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -67,6 +67,8 @@
               }})
     , m_lastTickAt(now)
 {
+    m_engine.coldTargets().start(m_fleet.members().self().instance, now);
+    m_engine.coldTargets().setBound({settings.coldFactor, settings.coldSlack});
 }
 
 Result<void> SteeringControl::open()
@@ -193,6 +195,7 @@
     perform(m_fleet.tick(now));
     m_engine.setInstanceCounts(m_fleet.localInstanceCount(), m_fleet.members().members().size() + 1);
     m_loadWatch.logTransitions(m_engine, now);
+    m_coldWatch.tick(m_engine, m_fleet.members(), now);
     startProbes(now);
     std::vector<PendingReset> resets = m_engine.sweep(now, MaximumResetsPerTick);
     logResets(resets, now);
@@ -317,6 +320,7 @@
     m_settings.seeds = settings.seeds;
     m_settings.settingsBound = settings.settingsBound;
     m_settings.gracePeriod = settings.gracePeriod;
+    m_engine.coldTargets().setBound({settings.coldFactor, settings.coldSlack});
     LogEvent(Severity::Info, "settings-reloaded")
         .with("seeds", settings.seeds.size())
         .with("addresses_need_restart", needsRestart ? "yes" : "no");
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -82,6 +82,23 @@
     }
 }
 
+static void addColdTargets(PageBuilder &page, const ColdTargetLimit &limit)
+{
+    prometheus::MetricFamily &passedOver = page.family("cold_passed_over_total",
+        "Openings for which a cold target without room was left out, by service.",
+        prometheus::MetricType::Counter);
+    prometheus::MetricFamily &refused = page.family("cold_refused_total",
+        "Openings that were refused because only cold targets without room were left, by service.",
+        prometheus::MetricType::Counter);
+    for (const auto &[service, counters] : limit.counters()) {
+        prometheus::ClientMetric metric = PageBuilder::counterMetric(counters.passedOver);
+        metric.label.push_back({"service", service});
+        passedOver.metric.push_back(metric);
+        metric.counter.value = static_cast<double>(counters.refused);
+        refused.metric.push_back(metric);
+    }
+}
+
 static void addDirectoryState(PageBuilder &page, SteeringControl &control, TimePoint now)
 {
     const FleetControl &fleet = control.fleet();
@@ -133,6 +150,7 @@
     addPath(page, path);
     addDecisions(page, control.engine().counters());
     addLoads(page, control, now);
+    addColdTargets(page, control.engine().coldTargets());
     addTargets(page, control, now);
     addDirectoryState(page, control, now);
     addCounters(page, control);
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -5,6 +5,7 @@
 #include "wireconversion.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <limits>
 
@@ -97,6 +98,11 @@
     wire.set_version(configuration.version);
     wire.set_idle_timeout_ms(milliseconds(configuration.idleTimeout));
     wire.mutable_health_paths()->insert(configuration.healthPaths.begin(), configuration.healthPaths.end());
+    for (const auto &[service, slowStart] : configuration.slowStarts) {
+        wire::WireSlowStart &body = (*wire.mutable_slow_starts())[service];
+        body.set_duration_ms(milliseconds(slowStart.duration));
+        body.set_flows_per_second(slowStart.flowsPerSecond);
+    }
     for (const Route &route : configuration.routes) {
         wire::WireRoute &body = *wire.add_routes();
         body.set_name(route.name);
@@ -119,6 +125,11 @@
     configuration.version = wire.version();
     configuration.idleTimeout = std::chrono::milliseconds(wire.idle_timeout_ms());
     configuration.healthPaths.insert(wire.health_paths().begin(), wire.health_paths().end());
+    for (const auto &[service, body] : wire.slow_starts()) {
+        const double flows = std::isfinite(body.flows_per_second()) ? body.flows_per_second() : 0;
+        configuration.slowStarts[service]
+            = {std::chrono::milliseconds(body.duration_ms()), std::max(flows, 0.0)};
+    }
     for (const wire::WireRoute &body : wire.routes()) {
         if (body.kind() > static_cast<std::uint32_t>(RequestKind::Download)) {
             return std::nullopt;
--- a/lib/Settings/steeringinstancesettings.cpp
+++ b/lib/Settings/steeringinstancesettings.cpp
@@ -18,6 +18,13 @@
     return rate && *rate >= 1 && *rate <= 1e9 ? std::optional<std::uint64_t>(*rate) : std::nullopt;
 }
 
+template <std::uint32_t Least, std::uint32_t Most>
+static std::optional<double> parseRealWithin(std::string_view text)
+{
+    const std::optional<double> value = parseReal(text);
+    return value && *value >= Least && *value <= Most ? value : std::nullopt;
+}
+
 static void readSeeds(YamlMapping &mapping, SteeringInstanceSettings &settings, Mistakes &mistakes)
 {
     const YAML::Node list = mapping.take("seeds");
@@ -71,6 +78,10 @@
     readTimes(mapping, settings);
     mapping.takeParsed("store-reads-per-second", "a rate of at least 1 a second", false, parseRate,
         settings.storeReadsPerSecond);
+    mapping.takeParsed(
+        "cold-factor", "a factor from 1 to 100", false, parseRealWithin<1, 100>, settings.coldFactor);
+    mapping.takeParsed("cold-slack", "a number of flows from 0 to 100000", false, parseRealWithin<0, 100000>,
+        settings.coldSlack);
     mapping.takeParsed("flow-memory", "a number of flows from 1024 to 16777216", false,
         parseWithin<1024, 1 << 24>, settings.flowMemory);
     mapping.takeParsed(
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -35,6 +35,7 @@
 SteeringEngine::SteeringEngine(SteeringSettings settings)
     : m_settings(std::move(settings))
     , m_targets(m_settings.directory)
+    , m_coldTargets(m_settings.dataCentre)
     , m_flows(m_settings.flowCapacity)
 {
 }
@@ -45,6 +46,7 @@
         return false;
     }
     m_targets.setServices(m_routes.services(), now);
+    m_coldTargets.setSlowStarts(m_routes.configuration().slowStarts);
     return true;
 }
 
@@ -140,7 +142,8 @@
         && now - known->seenAt >= MinimumRetransmissionInterval;
     const bool isDuplicate = known != nullptr && known->stage == FlowStage::Opening && !isCopy;
     KnownTarget *const previous = known == nullptr ? nullptr : m_targets.find(known->target);
-    if (isDuplicate && previous != nullptr && previous->presence != TargetPresence::Gone) {
+    const bool isPlaced = isDuplicate && previous != nullptr && previous->presence != TargetPresence::Gone;
+    if (isPlaced && !needsRoom(*known, *previous, now)) {
         return makeForward(*previous, known->token, SteeringCause::Placed);
     }
     if (isCopy && previous != nullptr) {
@@ -149,6 +152,11 @@
     }
     const auto [target, token, isFull] = place(*route, packet, isCopy ? known->target : 0, now);
     if (isFull) {
+        // A copy of an opening packet that arrives late must not end the flow, which may be open.
+        const bool isOpen = known != nullptr && known->stage == FlowStage::Open && packet.openingCopy > 0;
+        if (isOpen || isPlaced) {
+            return makeDrop(SteeringCause::ServiceFull);
+        }
         return makeReset(SteeringCause::ServiceFull, 0);
     }
     if (target == nullptr) {
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -7,6 +7,9 @@
 
 using std::chrono::milliseconds;
 
+/// A caller retransmits its opening packet after 200 ms at the earliest.
+constexpr Duration DuplicateInterval = milliseconds(120);
+
 /// At a working target some flow makes progress within this time; requests at any other target may hang.
 constexpr Duration ProgressWindow = milliseconds(300);
 
@@ -91,8 +94,25 @@
     return target.evidence.verdict(now) == TargetVerdict::Healthy && !request.isUnanswering(target, now);
 }
 
+void SteeringEngine::restartWarmUp(const std::string &dataCentre, TimePoint now)
+{
+    for (const auto &[key, target] : m_targets.targets()) {
+        if (target.record.dataCentre == dataCentre) {
+            m_targets.markCold(key, m_coldTargets.warmUpOf(target.record.service), now);
+        }
+    }
+}
+
+/// Returns whether an opening packet that was seen before counts as another one at its target. Only one that
+/// arrives at once is surely a duplicate.
+bool SteeringEngine::needsRoom(const FlowState &state, const KnownTarget &target, TimePoint now)
+{
+    return now - state.seenAt >= DuplicateInterval && m_coldTargets.isLimitedNow(target, now);
+}
+
 /// Selects a target and one of its tokens. A target is skipped if all its tokens are shared; so are the
-/// targets of an overloaded data centre as long as another one has healthy targets.
+/// targets of an overloaded data centre as long as another one has healthy targets, and cold targets without
+/// room.
 SteeringEngine::Placement SteeringEngine::place(
     const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now)
 {
@@ -101,11 +121,21 @@
     const Duration patience = m_openingPatience.value();
     const std::vector<std::string> silent = m_targets.silentDataCentres(m_settings.dataCentre, patience, now);
     Placement placement;
+    bool areColdLeftOut = false;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
         ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent};
+        const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service->service);
+        request.areColdLimited = m_coldTargets.isLimited(service->service);
+        request.withoutRoom = m_coldTargets.withoutRoom(service->service, targets, now);
+        if (!request.withoutRoom.empty()) {
+            areColdLeftOut = true;
+            m_coldTargets.recordPassedOver(service->service, now);
+        }
         unsigned collisions = 0;
-        while (KnownTarget *const target
-            = chooseTarget(m_targets.targetsOfService(service->service), request, now)) {
+        while (KnownTarget *const target = chooseTarget(targets, request, now)) {
+            if (!request.withoutRoom.empty() && target->evidence.isLost(now)) {
+                break;
+            }
             if (!request.fullDataCentres.empty() && !isProved(*target, request, now)) {
                 break;
             }
@@ -118,6 +148,7 @@
             placement.token = m_targets.tokenFor(*target, flowHash);
             if (placement.token != NoToken) {
                 placement.target = target;
+                m_coldTargets.recordFlow(*target, now);
                 return placement;
             }
             if (++collisions == 2) {
@@ -130,6 +161,10 @@
             return placement;
         }
     }
+    if (areColdLeftOut) {
+        m_coldTargets.recordRefused(route.services.front().service);
+        placement.isFull = true;
+    }
     return placement;
 }
 
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -39,6 +39,12 @@
         || contains(silentDataCentres, target.record.dataCentre);
 }
 
+bool ChoiceRequest::isLeftOut(const KnownTarget &target) const
+{
+    return contains(fullDataCentres, target.record.dataCentre)
+        || std::binary_search(withoutRoom.begin(), withoutRoom.end(), target.key);
+}
+
 static TargetRank rankOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
     if (target.record.isDraining) {
@@ -64,8 +70,9 @@
 
 static double costOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
-    const double slots
-        = std::max<std::uint32_t>(target.record.slots, 1) * (now < target.warmUpEndsAt ? WarmUpSlotShare : 1);
+    // Where the flows of cold targets are limited, the limit alone protects them.
+    const bool isCold = now < target.warmUpEndsAt && !request.areColdLimited;
+    const double slots = std::max<std::uint32_t>(target.record.slots, 1) * (isCold ? WarmUpSlotShare : 1);
     const double load = (target.openFlows + 1) / slots;
     // Squared, so that a data centre whose responses take twice as long as another one's spills over to it.
     const double responseShare
@@ -86,7 +93,7 @@
     std::size_t suspects = 0;
     std::size_t lapsed = 0;
     for (KnownTarget *const target : targets) {
-        if (contains(request.fullDataCentres, target->record.dataCentre)) {
+        if (request.isLeftOut(*target)) {
             continue;
         }
         const TargetRank rank = rankOf(*target, request, now);
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -110,6 +110,9 @@
         return;
     }
     const bool wasDraining = target.record.isDraining;
+    if (isNew || record.revision != target.record.revision) {
+        target.coldUntil = std::max<TimePoint>(target.coldUntil, now + record.warmUpLeft);
+    }
     target.record = record;
     target.key = key;
     target.isAssigned = target.isAssigned || isNamed;
@@ -208,6 +211,13 @@
     }
 }
 
+void TargetDirectory::markCold(std::uint64_t key, Duration duration, TimePoint now)
+{
+    if (KnownTarget *const target = find(key)) {
+        target->coldUntil = std::max<TimePoint>(target->coldUntil, now + duration);
+    }
+}
+
 void TargetDirectory::markReplaced(std::uint64_t key, TimePoint now)
 {
     if (KnownTarget *const target = find(key)) {
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -136,7 +136,7 @@
     image.update.isComplete = true;
     image.update.routes = RouteConfiguration{7, std::chrono::seconds(15),
         {{"r", {{1}, 443}, RequestKind::Download, std::chrono::seconds(5), {{"desk", 90}, {"guides", 10}}}},
-        {{"desk", "/healthz"}}};
+        {{"desk", "/healthz"}}, {{"desk", {std::chrono::seconds(30), 4.5}}}};
     for (std::uint32_t number = 0; number < 150; ++number) {
         image.update.targets.push_back(sampleTarget(number));
     }
@@ -153,6 +153,8 @@
     EXPECT_EQ(back->update.tombstones[0].name, "i-500");
     EXPECT_EQ(back->routesRevision, 98U);
     EXPECT_EQ(back->update.routes->healthPaths.at("desk"), "/healthz");
+    EXPECT_EQ(back->update.routes->slowStarts.at("desk").duration, std::chrono::seconds(30));
+    EXPECT_EQ(back->update.routes->slowStarts.at("desk").flowsPerSecond, 4.5);
     EXPECT_EQ(back->update.removals[0].name, "i-3");
     std::mt19937_64 random(20261204);
     for (int round = 0; round < 10000; ++round) {
--- a/unittests/Settings/steeringinstancesettingstest.cpp
+++ b/unittests/Settings/steeringinstancesettingstest.cpp
@@ -26,6 +26,8 @@
 clock-offset: "-1200ms"
 bind-address: "127.0.2.1"
 store-reads-per-second: "2000"
+cold-factor: "1.5"
+cold-slack: "5"
 )";
 
 static std::string replaced(const std::string &from, const std::string &to)
@@ -47,6 +49,8 @@
     EXPECT_EQ(parsed.settings.clockOffset, std::chrono::milliseconds(-1200));
     EXPECT_EQ(format(parsed.settings.boundAddress()), "127.0.2.1");
     EXPECT_EQ(parsed.settings.storeReadsPerSecond, 2000U);
+    EXPECT_EQ(parsed.settings.coldFactor, 1.5);
+    EXPECT_EQ(parsed.settings.coldSlack, 5);
     EXPECT_TRUE(isSteeringInstanceSettings(Whole));
 }
 
@@ -111,7 +115,7 @@
         EXPECT_NE(known.find(line.substr(0, colon + 1)), std::string::npos) << line;
         ++keys;
     }
-    EXPECT_EQ(keys, 13U);
+    EXPECT_EQ(keys, 15U);
 }
 
 } // namespace jasminequay
--- a/unittests/UsersPlatform/storerecordstest.cpp
+++ b/unittests/UsersPlatform/storerecordstest.cpp
@@ -94,6 +94,23 @@
     EXPECT_EQ(routes.healthPaths.size(), 2U);
 }
 
+/// Guards against a limit that is read wrongly, and against a malformed one hiding its service.
+TEST(StoreRecords, ReadsTheSlowStartOfAService)
+{
+    std::string text = GoodRoutes;
+    const std::string declared = R"({"name":"s1","healthPath":"/healthz"})";
+    text.replace(text.find(declared), declared.size(),
+        R"({"name":"s1","warmupS":2.5,"coldPerS":8},{"name":"s3","warmupS":20},{"name":"s4","coldPerS":-1},)"
+        R"({"name":"s5","coldPerS":"many","warmupS":1e300})");
+    const RouteConfiguration routes = *decodeItem(itemOf("op/config", text)).update.routes;
+    EXPECT_EQ(routes.slowStarts.at("s1").duration, std::chrono::milliseconds(2500));
+    EXPECT_EQ(routes.slowStarts.at("s1").flowsPerSecond, 8);
+    EXPECT_EQ(routes.slowStarts.at("s3").flowsPerSecond, 0);
+    EXPECT_FALSE(routes.slowStarts.contains("s4"));
+    EXPECT_EQ(routes.slowStarts.at("s5").flowsPerSecond, 0);
+    EXPECT_TRUE(routes.healthPaths.contains("s5"));
+}
+
 TEST(StoreRecords, AnUnknownRouteTypeIsNonIdempotent)
 {
     std::string text = GoodRoutes;
