--- a/include/jasminequay/Steering/coldtargetlimit.h
+++ b/include/jasminequay/Steering/coldtargetlimit.h
@@ -24,7 +24,7 @@
 
 /// What the limit did to the openings of one service.
 struct ColdTargetCounters {
-    std::uint64_t passedOver = 0; ///< Openings for which at least one cold target without room was left out.
+    std::uint64_t passedOver = 0; ///< Openings whose best target was cold and had no room.
     std::uint64_t refused = 0; ///< Openings that found no other target.
     TimePoint passedOverAt; ///< When an opening was last counted.
 };
@@ -77,10 +77,10 @@
     /// Counts a new flow, or another opening packet of one, that is sent to a target.
     void recordFlow(const KnownTarget &target, TimePoint now);
 
-    /// Counts an opening for which targets of a service were left out.
+    /// Counts an opening whose best target, one of this service, had no room.
     void recordPassedOver(const std::string &service, TimePoint now);
 
-    /// Counts an opening that is refused because only such targets are left.
+    /// Counts an opening that is refused because only cold targets without room are left.
     void recordRefused(const std::string &service);
 
     /// Returns the counters of each service whose openings were counted.
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -19,6 +19,8 @@
 namespace jasminequay
 {
 
+struct ChoiceRequest;
+
 /// The settings of an engine.
 struct SteeringSettings {
     std::string dataCentre; ///< The data centre of this instance.
@@ -160,6 +162,7 @@
         const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void trackProgress(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
+    void leaveOutColdTargets(ChoiceRequest &request, const std::string &service, TimePoint now);
     [[nodiscard]] bool needsRoom(const FlowState &state, const KnownTarget &target, TimePoint now);
     void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
     void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, TimePoint now);
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -85,8 +85,7 @@
 static void addColdTargets(PageBuilder &page, const ColdTargetLimit &limit)
 {
     prometheus::MetricFamily &passedOver = page.family("cold_passed_over_total",
-        "Openings for which a cold target without room was left out, by service.",
-        prometheus::MetricType::Counter);
+        "Openings whose best target was cold and had no room, by service.", prometheus::MetricType::Counter);
     prometheus::MetricFamily &refused = page.family("cold_refused_total",
         "Openings that were refused because only cold targets without room were left, by service.",
         prometheus::MetricType::Counter);
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -110,6 +110,22 @@
     return now - state.seenAt >= DuplicateInterval && m_coldTargets.isLimitedNow(target, now);
 }
 
+/// Leaves the cold targets without room out of a choice, and counts the opening if it would have gone to one.
+void SteeringEngine::leaveOutColdTargets(ChoiceRequest &request, const std::string &service, TimePoint now)
+{
+    const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service);
+    request.areColdLimited = m_coldTargets.isLimited(service);
+    std::vector<std::uint64_t> withoutRoom = m_coldTargets.withoutRoom(service, targets, now);
+    if (withoutRoom.empty()) {
+        return;
+    }
+    const KnownTarget *const preferred = chooseTarget(targets, request, now);
+    request.withoutRoom = std::move(withoutRoom);
+    if (preferred != nullptr && request.isLeftOut(*preferred)) {
+        m_coldTargets.recordPassedOver(service, now);
+    }
+}
+
 /// Selects a target and one of its tokens. A target is skipped if all its tokens are shared; so are the
 /// targets of an overloaded data centre as long as another one has healthy targets, and cold targets without
 /// room.
@@ -121,15 +137,13 @@
     const Duration patience = m_openingPatience.value();
     const std::vector<std::string> silent = m_targets.silentDataCentres(m_settings.dataCentre, patience, now);
     Placement placement;
-    bool areColdLeftOut = false;
+    const std::string *limitedService = nullptr;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
         ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent};
         const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service->service);
-        request.areColdLimited = m_coldTargets.isLimited(service->service);
-        request.withoutRoom = m_coldTargets.withoutRoom(service->service, targets, now);
+        leaveOutColdTargets(request, service->service, now);
         if (!request.withoutRoom.empty()) {
-            areColdLeftOut = true;
-            m_coldTargets.recordPassedOver(service->service, now);
+            limitedService = &service->service;
         }
         unsigned collisions = 0;
         while (KnownTarget *const target = chooseTarget(targets, request, now)) {
@@ -161,8 +175,8 @@
             return placement;
         }
     }
-    if (areColdLeftOut) {
-        m_coldTargets.recordRefused(route.services.front().service);
+    if (limitedService != nullptr) {
+        m_coldTargets.recordRefused(*limitedService);
         placement.isFull = true;
     }
     return placement;
--- a/unittests/Steering/coldenginetest.cpp
+++ b/unittests/Steering/coldenginetest.cpp
@@ -56,6 +56,7 @@
     put(1, {});
     EXPECT_EQ(placedAt(0, 30), 1);
     EXPECT_EQ(placedAt(1, 30), 30);
+    EXPECT_GT(instance.engine.coldTargets().counters().at("desk").passedOver, 0U);
     EXPECT_EQ(instance.engine.coldTargets().counters().at("desk").refused, 0U);
     instance.now += seconds(5);
     EXPECT_GT(placedAt(0, 30), 10);
@@ -77,12 +78,9 @@
 {
     put(0, seconds(5), "dc-2");
     put(1, {});
-    for (int probe = 0; probe < 4; ++probe) {
-        instance.target(1).evidence.recordRetransmission(3, instance.now);
-        instance.target(1).evidence.recordProbeStarted(instance.now);
-        instance.target(1).evidence.recordProbe(
-            Reachability::Refused, instance.now, instance.now + milliseconds(1));
-        instance.now += milliseconds(150);
+    instance.target(1).evidence.recordUnansweredOpening(instance.now);
+    for (int probe = 0; probe < 3; ++probe) {
+        instance.target(1).evidence.recordProbe(Reachability::Refused, instance.now, instance.now);
     }
     ASSERT_TRUE(instance.target(1).evidence.isLost(instance.now));
     EXPECT_EQ(instance.take(openingOf(1)).cause, SteeringCause::ServiceFull);
