--- a/unittests/Steering/coldtargettest.cpp
+++ b/unittests/Steering/coldtargettest.cpp
@@ -260,6 +260,29 @@
     EXPECT_EQ(flows, 10);
 }
 
+/// Guards against each instance sending its one flow at a rate below one per second.
+TEST(ColdTargetLimit, ARateBelowOneIsUsedByOneInstanceOnly)
+{
+    std::vector<RosterEntry> all;
+    for (std::size_t instance = 0; instance < 24; ++instance) {
+        all.push_back({nameOf(instance), false});
+    }
+    KnownTarget target;
+    target.record = targetOf(0);
+    target.coldUntil = Start + hours(1);
+    int senders = 0;
+    for (std::size_t instance = 0; instance < 24; ++instance) {
+        ColdTargetLimit limit("dc-1");
+        limit.setSlowStarts({{"desk", {seconds(30), 0.25}}});
+        std::vector<RosterEntry> others = all;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(instance));
+        limit.start(nameOf(instance), Start);
+        limit.setInstances(others, Start);
+        senders += limit.hasRoom(target, Start + seconds(10)) ? 1 : 0;
+    }
+    EXPECT_EQ(senders, 1);
+}
+
 /// Guards against an instance that has left keeping its room, and one that is cut off losing it.
 TEST(InstanceRoster, OnlyInstancesThatLeftLoseTheirPlace)
 {
