Leave more of a cold target's bound to chance where it is small

Cause: with a room of half of the bound and a third of the instances knowing half of the others, 0.5% of 10,000 targets had shares above the bound at a rate of one flow a second.

--- a/include/jasminequay/Steering/coldtargetlimit.h
+++ b/include/jasminequay/Steering/coldtargetlimit.h
@@ -16,7 +16,7 @@
 {
 
 /// The bound that a cold target's new flows per second must keep: the rate that it bears times `factor`, plus
-/// `slack`. Half of it is used even if the target bears less.
+/// `slack`. Half of it, less one flow, is used even if the target bears less.
 struct ColdTargetBound {
     double factor = 1;
     double slack = 0; ///< Flows.
--- a/lib/Steering/coldtargetlimit.cpp
+++ b/lib/Steering/coldtargetlimit.cpp
@@ -76,11 +76,13 @@
     return now < target.coldUntil && isLimited(target.record.service);
 }
 
-/// Returns the flows per second that all instances together may send to a cold target.
+/// Returns the flows per second that all instances together may send to a cold target. Where these are few,
+/// the whole half of the bound would leave too little for chance: with a third of the instances knowing half
+/// of the others, up to 0.5% of the targets would get more than the bound.
 double ColdTargetLimit::roomAt(const SlowStart &slowStart) const
 {
-    const double half = (slowStart.flowsPerSecond * m_bound.factor + m_bound.slack) / 2;
-    return std::min(std::max(slowStart.flowsPerSecond, half), MaximumRoom);
+    const double bound = slowStart.flowsPerSecond * m_bound.factor + m_bound.slack;
+    return std::min(std::max(slowStart.flowsPerSecond, bound / 2 - 1), MaximumRoom);
 }
 
 /// Divides the room at a target by whole flows. If it is less than one flow per second, the first instance of
