Complete the limits of cold targets within a version of the routes

Cause: an older instance hands on routes without the limits, and routes of the same version are never replaced, so an instance that loaded from it had no limit until the next version.

Change: limits are added to the version in force if none are known.

Tested: SteeringTests, 134 passed.

--- a/include/jasminequay/Steering/routetable.h
+++ b/include/jasminequay/Steering/routetable.h
@@ -17,6 +17,10 @@
     /// Replaces the configuration in force if the version of the new one is higher; returns whether it did.
     bool replaceAll(RouteConfiguration configuration);
 
+    /// Adds the slow starts of a configuration of the same version if none are known, as an older instance
+    /// that handed on this version left them out; returns whether it did.
+    bool completeSlowStarts(const RouteConfiguration &configuration);
+
     /// Returns the route of an address; null if there is none.
     [[nodiscard]] const Route *at(Endpoint address) const;
 
--- a/lib/Steering/routetable.cpp
+++ b/lib/Steering/routetable.cpp
@@ -32,6 +32,16 @@
     return true;
 }
 
+bool RouteTable::completeSlowStarts(const RouteConfiguration &configuration)
+{
+    const bool isMissing = configuration.version == m_configuration.version
+        && m_configuration.slowStarts.empty() && !configuration.slowStarts.empty();
+    if (isMissing) {
+        m_configuration.slowStarts = configuration.slowStarts;
+    }
+    return isMissing;
+}
+
 std::uint32_t RouteTable::lowestPriority(const std::string &service) const
 {
     const auto found = m_lowestPriorities.find(service);
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -42,6 +42,9 @@
 
 bool SteeringEngine::replaceRoutes(RouteConfiguration configuration, TimePoint now)
 {
+    if (m_routes.completeSlowStarts(configuration)) {
+        m_coldTargets.setSlowStarts(m_routes.configuration().slowStarts);
+    }
     if (!m_routes.replaceAll(std::move(configuration))) {
         return false;
     }
--- a/unittests/Steering/coldenginetest.cpp
+++ b/unittests/Steering/coldenginetest.cpp
@@ -152,6 +152,19 @@
     EXPECT_EQ(instance.target(0).coldUntil, end + seconds(3));
 }
 
+/// Guards against an instance that never limits anything because an older instance, which does not know
+/// limits, handed on the routes in force.
+TEST_F(ColdEngine, LimitsThatAnOlderInstanceLeftOutAreAddedToTheSameVersion)
+{
+    instance.engine.replaceRoutes(routesOf(3), instance.now);
+    EXPECT_FALSE(instance.engine.coldTargets().isLimited("desk"));
+    RouteConfiguration routes = routesOf(3);
+    routes.slowStarts["desk"] = {seconds(30), 1};
+    instance.engine.replaceRoutes(routes, instance.now);
+    EXPECT_TRUE(instance.engine.coldTargets().isLimited("desk"));
+    EXPECT_FALSE(instance.engine.routes().configuration().slowStarts.empty());
+}
+
 /// Guards against any effect on services that state no limit.
 TEST_F(ColdEngine, WithoutALimitColdTargetsTakeFlowsAsBefore)
 {
