--- a/include/jasminequay/Node/evacuationwatch.h
+++ b/include/jasminequay/Node/evacuationwatch.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace jasminequay
 {
@@ -14,8 +15,9 @@
 class EvacuationWatch
 {
 public:
-    /// Logs the evacuations that began or ended since the last call.
-    void logTransitions(const TargetDirectory &targets);
+    /// Logs the evacuations that began or ended since the last call. Returns the data centres whose
+    /// evacuation has ended.
+    std::vector<std::string> logTransitions(const TargetDirectory &targets);
 
 private:
     std::set<std::string> m_evacuated;
--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminequay/Fleet/fleetcontrol.h"
+#include "jasminequay/Node/coldwatch.h"
 #include "jasminequay/Node/evacuationwatch.h"
 #include "jasminequay/Node/loadwatch.h"
 #include "jasminequay/Node/outlierlog.h"
@@ -122,6 +123,7 @@
     LoadWatch m_loadWatch;
     EvacuationWatch m_evacuationWatch;
     OutlierLog m_outlierLog;
+    ColdWatch m_coldWatch;
     StoreCounters m_storeCounters;
     ProbeCounters m_probeCounters;
     bool m_isStoreFailing = false;
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -3,6 +3,7 @@
 
 #include "jasminequay/Settings/steeringfeatures.h"
 #include "jasminequay/Steering/answerquality.h"
+#include "jasminequay/Steering/coldtargetlimit.h"
 #include "jasminequay/Steering/flowmemory.h"
 #include "jasminequay/Steering/priorityadmission.h"
 #include "jasminequay/Steering/routetable.h"
@@ -144,6 +145,18 @@
     /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
 
+    /// Marks the targets of a data centre that limit their cold start as cold, as they have had no flows
+    /// until now: an evacuation has ended.
+    void restartWarmUp(const std::string &dataCentre, TimePoint now);
+
+    [[nodiscard]] ColdTargetLimit &coldTargets()
+    {
+        return m_coldTargets;
+    }
+    [[nodiscard]] const ColdTargetLimit &coldTargets() const
+    {
+        return m_coldTargets;
+    }
     [[nodiscard]] const RouteTable &routes() const
     {
         return m_routes;
@@ -185,8 +198,12 @@
     Placement place(
         const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now);
     [[nodiscard]] bool hasEvacuatedTarget(const std::string &service);
+    [[nodiscard]] std::vector<std::string> evacuatedDataCentres(
+        const std::string &service, const std::vector<std::string> &silent, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void trackProgress(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
+    void leaveOutColdTargets(ChoiceRequest &request, const std::string &service, TimePoint now);
+    [[nodiscard]] bool needsRoom(const FlowState &state, const KnownTarget &target, TimePoint now);
     void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
     void endRequest(const SteeredFlow &flow, FlowState &state, KnownTarget &target, std::uint32_t answerBytes,
         TimePoint now);
@@ -224,6 +241,7 @@
     SteeringSettings m_settings;
     RouteTable m_routes;
     TargetDirectory m_targets;
+    ColdTargetLimit m_coldTargets;
     FlowMemory m_flows;
     SteeringCounters m_counters{};
     ServiceLoads m_loads;
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -29,9 +29,16 @@
     Endpoint route{}; ///< The address of the flow's route.
     std::size_t allInstances = 1; ///< The number of instances in all data centres.
     bool isRepeatable = false; ///< Whether the requests of the flow's route may be repeated.
+    /// The keys of cold targets that may get no flow now, in ascending order; they are left out.
+    std::vector<std::uint64_t> withoutRoom = {};
+    bool areColdLimited = false; ///< Whether the flows of cold targets are limited.
 
     /// Returns whether a target leaves opening packets unanswered, or may be out of reach.
     [[nodiscard]] bool isUnanswering(const KnownTarget &target, TimePoint now) const;
+
+    /// Returns whether a target may not be chosen because it or its data centre is full, or because
+    /// its data centre is evacuated.
+    [[nodiscard]] bool isLeftOut(const KnownTarget &target) const;
 };
 
 /// Chooses the target with the lowest expected time, or the fewest flows per slot, weighted by response
--- a/lib/Node/evacuationwatch.cpp
+++ b/lib/Node/evacuationwatch.cpp
@@ -16,11 +16,12 @@
         }));
 }
 
-void EvacuationWatch::logTransitions(const TargetDirectory &targets)
+std::vector<std::string> EvacuationWatch::logTransitions(const TargetDirectory &targets)
 {
+    std::vector<std::string> ended;
     const EvacuationTable &evacuations = targets.evacuations();
     if (evacuations.changeCount() == m_seenChanges) {
-        return;
+        return ended;
     }
     m_seenChanges = evacuations.changeCount();
     for (const EvacuationRecord &record : evacuations.records()) {
@@ -36,8 +37,10 @@
             m_evacuated.insert(record.dataCentre);
         } else {
             m_evacuated.erase(record.dataCentre);
+            ended.push_back(record.dataCentre);
         }
     }
+    return ended;
 }
 
 } // namespace jasminequay
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -35,16 +35,21 @@
 SteeringEngine::SteeringEngine(SteeringSettings settings)
     : m_settings(std::move(settings))
     , m_targets(m_settings.directory)
+    , m_coldTargets(m_settings.dataCentre)
     , m_flows(m_settings.flowCapacity)
 {
 }
 
 bool SteeringEngine::replaceRoutes(RouteConfiguration configuration, TimePoint now)
 {
+    if (m_routes.completeSlowStarts(configuration)) {
+        m_coldTargets.setSlowStarts(m_routes.configuration().slowStarts);
+    }
     if (!m_routes.replaceAll(std::move(configuration))) {
         return false;
     }
     m_targets.setServices(m_routes.services(), now);
+    m_coldTargets.setSlowStarts(m_routes.configuration().slowStarts);
     return true;
 }
 
@@ -155,7 +160,8 @@
         // The same datagram once more: the first one was sent on before the evacuation.
         return makeDrop(SteeringCause::Evacuated);
     }
-    if (isDuplicate && previous != nullptr && previous->presence != TargetPresence::Gone && !isEvacuated) {
+    const bool isPlaced = isDuplicate && previous != nullptr && previous->presence != TargetPresence::Gone;
+    if (isPlaced && !isEvacuated && !needsRoom(*known, *previous, now)) {
         return makeForward(*previous, known->token, SteeringCause::Placed);
     }
     if (isCopy && previous != nullptr) {
@@ -168,6 +174,11 @@
     }
     const auto [target, token, isFull, isLeftOut] = place(*route, packet, isCopy ? known->target : 0, now);
     if (isFull) {
+        // A copy of an opening packet that arrives late must not end the flow, which may be open.
+        const bool isOpen = known != nullptr && known->stage == FlowStage::Open && packet.openingCopy > 0;
+        if (isOpen || isPlaced) {
+            return makeDrop(SteeringCause::ServiceFull);
+        }
         return makeReset(SteeringCause::ServiceFull, 0);
     }
     if (target == nullptr && isLeftOut) {
@@ -193,6 +204,7 @@
     target->openings.recordOpening(now);
     m_targets.openingsOf(target->record.dataCentre).recordOpening(now);
     recordSent(packet.flow, *target, now);
+    m_coldTargets.recordFlow(*target, now);
     return makeForward(*target, token, isMoved ? SteeringCause::PlacedAgain : SteeringCause::Placed);
 }
 
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -7,6 +7,9 @@
 
 using std::chrono::milliseconds;
 
+/// A caller retransmits its opening packet after 200 ms at the earliest.
+constexpr Duration DuplicateInterval = milliseconds(120);
+
 /// At a working target some flow makes progress within this time; requests at any other target may hang.
 constexpr Duration ProgressWindow = milliseconds(300);
 
@@ -114,8 +117,41 @@
     return target.evidence.verdict(now) == TargetVerdict::Healthy && !request.isUnanswering(target, now);
 }
 
+void SteeringEngine::restartWarmUp(const std::string &dataCentre, TimePoint now)
+{
+    for (const auto &[key, target] : m_targets.targets()) {
+        if (target.record.dataCentre == dataCentre) {
+            m_targets.markCold(key, m_coldTargets.warmUpOf(target.record.service), now);
+        }
+    }
+}
+
+/// Returns whether an opening packet that was seen before counts as another one at its target. Only one that
+/// arrives at once is surely a duplicate.
+bool SteeringEngine::needsRoom(const FlowState &state, const KnownTarget &target, TimePoint now)
+{
+    return now - state.seenAt >= DuplicateInterval && m_coldTargets.isLimitedNow(target, now);
+}
+
+/// Leaves the cold targets without room out of a choice, and counts the opening if it would have gone to one.
+void SteeringEngine::leaveOutColdTargets(ChoiceRequest &request, const std::string &service, TimePoint now)
+{
+    const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service);
+    request.areColdLimited = m_coldTargets.isLimited(service);
+    std::vector<std::uint64_t> withoutRoom = m_coldTargets.withoutRoom(service, targets, now);
+    if (withoutRoom.empty()) {
+        return;
+    }
+    const KnownTarget *const preferred = chooseTarget(targets, request, now);
+    request.withoutRoom = std::move(withoutRoom);
+    if (preferred != nullptr && request.isLeftOut(*preferred)) {
+        m_coldTargets.recordPassedOver(service, now);
+    }
+}
+
 /// Selects a target and one of its tokens. A target is skipped if all its tokens are shared; so are the
-/// targets of an overloaded data centre as long as another one has healthy targets.
+/// targets of an overloaded data centre as long as another one has healthy targets, and cold targets without
+/// room.
 SteeringEngine::Placement SteeringEngine::place(
     const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now)
 {
@@ -124,13 +160,21 @@
     const Duration patience = m_openingPatience.value();
     const std::vector<std::string> silent = m_targets.silentDataCentres(m_settings.dataCentre, patience, now);
     Placement placement;
+    const std::string *limitedService = nullptr;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
         ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent,
-            m_targets.evacuations().evacuatedDataCentres()};
+            evacuatedDataCentres(service->service, silent, now)};
         addHealth(route, request);
+        const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service->service);
+        leaveOutColdTargets(request, service->service, now);
+        if (!request.withoutRoom.empty()) {
+            limitedService = &service->service;
+        }
         unsigned collisions = 0;
-        while (KnownTarget *const target
-            = chooseTarget(m_targets.targetsOfService(service->service), request, now)) {
+        while (KnownTarget *const target = chooseTarget(targets, request, now)) {
+            if (!request.withoutRoom.empty() && target->evidence.isLost(now)) {
+                break;
+            }
             if (!request.fullDataCentres.empty() && !isProved(*target, request, now)) {
                 break;
             }
@@ -160,9 +204,35 @@
         }
         placement.isEvacuated = placement.isEvacuated || hasEvacuatedTarget(service->service);
     }
+    if (limitedService != nullptr) {
+        m_coldTargets.recordRefused(*limitedService);
+        placement.isFull = true;
+    }
     return placement;
 }
 
+/// Returns the data centres whose targets get no new flows. An instance that hears neither from the store nor
+/// from any other data centre still uses the targets of its own one: nothing else can serve its callers.
+std::vector<std::string> SteeringEngine::evacuatedDataCentres(
+    const std::string &service, const std::vector<std::string> &silent, TimePoint now)
+{
+    std::vector<std::string> evacuated = m_targets.evacuations().evacuatedDataCentres();
+    const auto own = std::find(evacuated.begin(), evacuated.end(), m_settings.dataCentre);
+    if (own == evacuated.end() || isCurrent(now)) {
+        return evacuated;
+    }
+    const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service);
+    const bool isCutOff = std::all_of(targets.begin(), targets.end(), [&](const KnownTarget *target) {
+        const std::string &dataCentre = target->record.dataCentre;
+        return m_targets.evacuations().isEvacuated(dataCentre) || target->evidence.isLost(now)
+            || std::find(silent.begin(), silent.end(), dataCentre) != silent.end();
+    });
+    if (isCutOff) {
+        evacuated.erase(own);
+    }
+    return evacuated;
+}
+
 /// Returns whether a target of a service gets no new flows only because its data centre is evacuated.
 bool SteeringEngine::hasEvacuatedTarget(const std::string &service)
 {
--- a/unittests/Settings/steeringinstancesettingstest.cpp
+++ b/unittests/Settings/steeringinstancesettingstest.cpp
@@ -29,6 +29,8 @@
 features:
   - "health"
   - "cost"
+cold-factor: "1.5"
+cold-slack: "5"
 )";
 
 static std::string replaced(const std::string &from, const std::string &to)
@@ -52,6 +54,8 @@
     EXPECT_EQ(parsed.settings.storeReadsPerSecond, 2000U);
     EXPECT_TRUE(parsed.settings.features.ejectsOutliers);
     EXPECT_FALSE(parsed.settings.features.admitsByPriority);
+    EXPECT_EQ(parsed.settings.coldFactor, 1.5);
+    EXPECT_EQ(parsed.settings.coldSlack, 5);
     EXPECT_TRUE(isSteeringInstanceSettings(Whole));
 }
 
@@ -116,7 +120,7 @@
         EXPECT_NE(known.find(line.substr(0, colon + 1)), std::string::npos) << line;
         ++keys;
     }
-    EXPECT_EQ(keys, 14U);
+    EXPECT_EQ(keys, 16U);
 }
 
 } // namespace jasminequay
