Try ejected targets with one flow in 32

Cause: with one in 16, about 22 flows a second of a data centre try a target; one that hangs holds 8 of them before the second failure is known. Change: one in 32.

--- a/lib/Steering/outlierejection.cpp
+++ b/lib/Steering/outlierejection.cpp
@@ -49,7 +49,7 @@
 
 /// On probation one in this many flows tries a target, selected by hash. Probation begins at about the same
 /// time at all instances, and one opening of each at once would overload the target.
-constexpr std::uint64_t FlowsPerTrial = 16;
+constexpr std::uint64_t FlowsPerTrial = 32;
 
 /// Makes the selection independent of other uses of the same hash.
 constexpr std::uint64_t TrialSalt = 0x7472'6961'6c00'0000;
