--- a/unittests/Steering/outlierejectiontest.cpp
+++ b/unittests/Steering/outlierejectiontest.cpp
@@ -217,7 +217,7 @@
 {
     EXPECT_EQ(ejectAndWait(1), seconds(1));
     ASSERT_EQ(stage(1), EjectionStage::Probation);
-    EXPECT_NEAR(trials(1), 1000 / 32, 20);
+    EXPECT_NEAR(trials(1), 1000 / 32.0, 20);
     outliers.recordOpening(1, now);
     EXPECT_EQ(trials(1), 0);
     now += milliseconds(40);
--- a/unittests/Steering/outlierenginetest.cpp
+++ b/unittests/Steering/outlierenginetest.cpp
@@ -162,6 +162,30 @@
     EXPECT_TRUE(engine.outliers().takeReports(23, resumedAt).empty());
 }
 
+/// Guards against an overdue request that counts twice and so ejects its target alone: the sweep may see it
+/// before its answer comes, or after.
+TEST_F(OutlierEngine, AnOverdueRequestCountsOnce)
+{
+    SteeringEngine &engine = *world.engines.front();
+    const auto request = [&](std::uint32_t caller, std::initializer_list<int> sweeps, int answeredAt) {
+        const TimePoint start = world.now;
+        const SteeringToken token = engine.decide(openingOf(caller), start).token;
+        engine.decide(dataOf(caller, token, 1001, 5000, 100), start);
+        for (const int sweep : sweeps) {
+            engine.sweep(start + milliseconds(sweep), 100);
+        }
+        engine.decide(dataOf(caller, token, 1101, 5900, 0), start + milliseconds(answeredAt));
+        world.now = start + milliseconds(answeredAt + 50);
+        engine.sweep(world.now, 100);
+    };
+    request(900000, {100, 200, 300, 350}, 400);
+    EXPECT_EQ(engine.outliers().counters().failures, 1U);
+    request(900001, {100, 200, 299}, 310);
+    EXPECT_EQ(engine.outliers().counters().failures, 2U);
+    request(900002, {100, 200}, 290);
+    EXPECT_EQ(engine.outliers().counters().failures, 2U);
+}
+
 /// Guards against a peer that reports failures of all targets, whether wrong or cut off from them.
 TEST_F(OutlierEngine, AWrongPeerEjectsNothing)
 {
--- a/unittests/Steering/outlierworld.h
+++ b/unittests/Steering/outlierworld.h
@@ -161,11 +161,12 @@
     void startRequests()
     {
         for (std::uint32_t dataCentre = 0; dataCentre < rates.size(); ++dataCentre) {
+            const std::size_t first = static_cast<std::size_t>(dataCentre) * m_perDataCentre;
             m_loads[dataCentre] += rates[dataCentre] / 1000;
             for (; m_loads[dataCentre] >= 1; m_loads[dataCentre] -= 1) {
                 const std::uint32_t caller = ++m_caller;
                 const auto number = hashWords(caller, 3) % m_perDataCentre;
-                start(*engines[dataCentre * m_perDataCentre + number], caller, dataCentre);
+                start(*engines[first + number], caller, dataCentre);
             }
         }
     }
