Test that a wrong peer hides no bad target, and late answers after a pause

Cause: two trial changes of the code passed all tests (the loudest peer counted in the mean; answers to requests from before a pause judged).

--- a/unittests/Steering/outlierejectiontest.cpp
+++ b/unittests/Steering/outlierejectiontest.cpp
@@ -131,6 +131,17 @@
     EXPECT_EQ(outliers.counters().ejections, 0U);
 }
 
+/// Guards against a wrong peer that hides a bad target, as if all targets failed.
+TEST_F(OutlierEjectionTest, ReportsOfASinglePeerPreventNothing)
+{
+    answerElsewhere();
+    for (std::uint64_t key = 0; key < Targets; ++key) {
+        report(key, 77, 1000);
+    }
+    fail(1);
+    EXPECT_EQ(stage(1), EjectionStage::Ejected);
+}
+
 /// Guards against reports that an instance sends when it resumes after a pause.
 TEST_F(OutlierEjectionTest, ReportsOfOldFailuresAreIgnored)
 {
--- a/unittests/Steering/outlierenginetest.cpp
+++ b/unittests/Steering/outlierenginetest.cpp
@@ -158,6 +158,7 @@
     engine.decide(dataOf(900000, placed[0].token, 1101, 5900, 0), resumedAt);
     engine.sweep(resumedAt, 100);
     engine.sweep(resumedAt + milliseconds(50), 100);
+    engine.decide(dataOf(900001, placed[1].token, 1101, 5900, 0), resumedAt + milliseconds(60));
     EXPECT_EQ(engine.outliers().counters().failures, 0U);
     EXPECT_TRUE(engine.outliers().takeReports(23, resumedAt).empty());
 }
