--- a/include/jasminequay/Model/loadmodel.h
+++ b/include/jasminequay/Model/loadmodel.h
@@ -93,6 +93,8 @@
     void onAnswerAtCaller(std::uint32_t number);
     void scheduleRetry(std::uint32_t call);
     void tick();
+    void probeTargets(SteeringEngine &engine);
+    void reportLost(std::uint64_t key);
     SteeringDecision decide(
         const Flow &flow, bool isOpening, std::uint32_t retransmission, std::uint32_t size);
     [[nodiscard]] bool isMeasured(const Call &call) const;
--- a/include/jasminequay/Steering/answerdelay.h
+++ b/include/jasminequay/Steering/answerdelay.h
@@ -46,8 +46,8 @@
         return m_latestRatios.count(now);
     }
 
-    /// Returns an elapsed time divided by the usual time of the route; nothing while that is unknown.
-    [[nodiscard]] std::optional<double> ratioOf(std::uint64_t route, Duration time) const;
+    /// Returns the usual time of a route in seconds; nothing while it is unknown.
+    [[nodiscard]] std::optional<double> usualSeconds(std::uint64_t route) const;
 
     /// Takes over the usual times of the same routes in another data centre.
     void copyUsualTimes(const AnswerDelay &other)
--- a/include/jasminequay/Steering/priorityadmission.h
+++ b/include/jasminequay/Steering/priorityadmission.h
@@ -111,9 +111,11 @@
     void recordOutcome(std::uint64_t target, bool isGood, TimePoint now);
     void recordOverdue(TimePoint now);
     [[nodiscard]] bool isShortOfCapacity(TimePoint now) const;
-    [[nodiscard]] bool isQueueGrowing(TimePoint now) const;
+    [[nodiscard]] double expectedRatio(TimePoint now) const;
+    [[nodiscard]] bool isEarly(TimePoint now) const;
     [[nodiscard]] bool isSurging(TimePoint now) const;
     [[nodiscard]] bool isAboveOthers(std::uint32_t priority) const;
+    [[nodiscard]] bool isCalm(TimePoint now) const;
     [[nodiscard]] double demand(TimePoint now) const;
     [[nodiscard]] double capacityFactor(TimePoint now) const;
     [[nodiscard]] double goodRate(TimePoint now) const;
@@ -132,9 +134,9 @@
     std::unordered_map<std::uint64_t, PendingAnswer> m_pending; ///< By flow.
     TimePoint m_advancedAt;
     TimePoint m_answeredAt;
+    TimePoint m_turnedAwayAt; ///< When a target last turned a request away.
     TimePoint m_limitedAt; ///< When the limit began.
     double m_limit = std::numeric_limits<double>::infinity();
-    unsigned m_surgingIntervals = 0;
     unsigned m_roomyIntervals = 0; ///< Consecutive intervals in which the limit was above the demand.
 };
 
--- a/lib/Model/loadmodel.cpp
+++ b/lib/Model/loadmodel.cpp
@@ -456,12 +456,44 @@
     }
 }
 
+/// Probes the targets that an engine suspects, as its instance would.
+void LoadModel::probeTargets(SteeringEngine &engine)
+{
+    const std::vector<std::uint64_t> watched(
+        engine.targets().watched().begin(), engine.targets().watched().end());
+    for (const std::uint64_t key : watched) {
+        KnownTarget &target = *engine.targets().find(key);
+        if (target.evidence.needsProbe(m_now)) {
+            const bool isSilent = isLost(static_cast<std::uint32_t>(target.record.identity.id - 1));
+            target.evidence.recordProbeStarted(m_now);
+            target.evidence.recordProbe(
+                isSilent ? Reachability::Silent : Reachability::Connected, m_now, m_now);
+            if (target.evidence.isLost(m_now)) {
+                reportLost(key);
+            }
+        }
+    }
+}
+
+/// Tells all instances that one of them considers a target lost.
+void LoadModel::reportLost(std::uint64_t key)
+{
+    for (const auto &instances : m_instances) {
+        for (const auto &engine : instances) {
+            KnownTarget &target = *engine->targets().find(key);
+            target.evidence.recordPeerReport(m_now);
+            engine->targets().watch(target);
+        }
+    }
+}
+
 void LoadModel::tick()
 {
     constexpr std::size_t ResetsPerTick = 200;
     for (const auto &instances : m_instances) {
         for (const auto &engine : instances) {
             engine->markCurrentAt(m_now);
+            probeTargets(*engine);
             static_cast<void>(engine->sweep(
                 m_now, ResetsPerTick)); // resets are ignored: flows at lost targets are not reused
         }
--- a/lib/Steering/answerdelay.cpp
+++ b/lib/Steering/answerdelay.cpp
@@ -14,7 +14,7 @@
 constexpr unsigned KnownAnswers = 8;
 
 /// The number of answers over which the usual time is averaged.
-constexpr unsigned UsualAnswers = 200;
+constexpr unsigned UsualAnswers = 100;
 
 /// One answer counts for at most this ratio: a delay due to a lost packet is not the target's.
 constexpr double MaximumRatio = 8;
@@ -32,19 +32,20 @@
         usual.answers = std::min(usual.answers + 1, UsualAnswers);
         usual.seconds += (std::chrono::duration<double>(time).count() - usual.seconds) / usual.answers;
     }
-    if (const std::optional<double> ratio = ratioOf(route, time)) {
-        m_ratios.add(std::min(*ratio, MaximumRatio), now);
-        m_latestRatios.add(std::min(*ratio, MaximumRatio), now);
+    if (const std::optional<double> known = usualSeconds(route)) {
+        const double ratio = std::min(std::chrono::duration<double>(time).count() / *known, MaximumRatio);
+        m_ratios.add(ratio, now);
+        m_latestRatios.add(ratio, now);
     }
 }
 
-std::optional<double> AnswerDelay::ratioOf(std::uint64_t route, Duration time) const
+std::optional<double> AnswerDelay::usualSeconds(std::uint64_t route) const
 {
     const auto usual = m_usual.find(route);
     if (usual == m_usual.end() || usual->second.answers < KnownAnswers || usual->second.seconds <= 0) {
         return std::nullopt;
     }
-    return std::chrono::duration<double>(time).count() / usual->second.seconds;
+    return usual->second.seconds;
 }
 
 } // namespace jasminequay
--- a/lib/Steering/priorityadmission.cpp
+++ b/lib/Steering/priorityadmission.cpp
@@ -23,6 +23,9 @@
 /// The limit expires after this time without answers.
 constexpr Duration Expiry = seconds(1);
 
+/// Without requests turned away for this time, late answers become the usual ones.
+constexpr Duration SlowTargetTime = seconds(3);
+
 /// Flows that wait for an answer are remembered up to this number.
 constexpr std::size_t MaximumPending = 8192;
 
@@ -40,19 +43,17 @@
 /// Answers take this many times as long as usual where requests wait. Single intervals reach it by chance.
 constexpr double WaitingRatio = 1.6;
 
-/// Answers this late, while the demand is `SurgeDemand` times its long-term average, show that the targets
-/// are going to be full.
-constexpr double SurgeRatio = 2;
+/// So many requests in flight that answers will be this late, while the demand is `SurgeDemand` times its
+/// long-term average, show that the targets are going to be full.
+constexpr double SurgeRatio = 2.5;
 constexpr double SurgeDemand = 2;
-constexpr double SurgeAnswers = 5;
-constexpr unsigned SurgeIntervals = 2;
+constexpr double SurgeRequests = 7;
 
-/// The mean time for which requests have been waiting for an answer, divided by the usual time of the whole
-/// request. It is about 0.6 while nothing queues, and rises before the answers come late.
-constexpr double WaitingAgeRatio = 1.2;
+/// The initial limit is at least this share of the demand, as the rate of good answers lags behind a surge.
+constexpr double InitialDemandShare = 0.65;
 
 /// The delay ratio that the limit aims at. Below it, slots stay empty; far above it, some targets are full.
-constexpr double DesiredRatio = 2.3;
+constexpr double DesiredRatio = 2.4;
 constexpr double RatioGain = 0.4;
 constexpr double TurnedAwayGain = 4;
 constexpr double TolerableShare = 0.01;
@@ -143,8 +144,7 @@
     if (!answer.isFailed) {
         m_good.add(1, now);
         m_latestGood.add(1, now);
-        const bool isCalm = !isLimited(now) && m_delay.ratio(now) < WaitingRatio;
-        m_delay.recordAnswer(answer.route, answer.time, isCalm, now);
+        m_delay.recordAnswer(answer.route, answer.time, isCalm(now), now);
     }
     advance(now);
 }
@@ -156,6 +156,7 @@
     }
     m_outcomes.add(1, now);
     m_turnedAway.add(isGood ? 0 : 1, now);
+    m_turnedAwayAt = isGood ? m_turnedAwayAt : now;
 }
 
 void PriorityAdmission::recordOverdue(TimePoint now)
@@ -169,6 +170,14 @@
     });
 }
 
+/// Returns whether answers take their usual time now. Answers that are late for seconds while nothing is
+/// turned away come from slow targets, not from full ones.
+bool PriorityAdmission::isCalm(TimePoint now) const
+{
+    const bool isPrompt = !isLimited(now) && m_delay.ratio(now) < WaitingRatio;
+    return isPrompt || now - std::max(m_turnedAwayAt, m_limitedAt) > SlowTargetTime;
+}
+
 bool PriorityAdmission::isLimited(TimePoint now) const
 {
     return !std::isinf(m_limit) && now - m_answeredAt <= Expiry;
@@ -197,7 +206,6 @@
     m_advancedAt = now;
     recordOverdue(now);
     m_targets.removeOld(now);
-    m_surgingIntervals = isSurging(now) ? m_surgingIntervals + 1 : 0;
     if (!isLimited(now)) {
         liftLimit();
         if (isShortOfCapacity(now)) {
@@ -209,21 +217,20 @@
     assignProbabilities(now);
 }
 
-/// Returns whether requests take, or have been waiting, much longer than usual.
-bool PriorityAdmission::isQueueGrowing(TimePoint now) const
+/// Returns the delay ratio of the requests in flight if answers continue to arrive at the present rate. It
+/// rises before answers are late. Zero if too few requests are in flight.
+double PriorityAdmission::expectedRatio(TimePoint now) const
 {
-    if (m_delay.latestAnswers(now) >= SurgeAnswers && m_delay.latestRatio(now) >= SurgeRatio) {
-        return true;
-    }
-    double sum = 0;
+    double usual = 0;
     double count = 0;
     for (const auto &[flow, pending] : m_pending) {
-        if (const std::optional<double> ratio = m_delay.ratioOf(pending.route, now - pending.sentAt)) {
-            sum += *ratio;
+        if (const std::optional<double> seconds = m_delay.usualSeconds(pending.route)) {
+            usual += *seconds;
             ++count;
         }
     }
-    return count >= SurgeAnswers && sum >= WaitingAgeRatio * count;
+    const double rate = std::max(m_good.rate(now), m_latestGood.rate(now));
+    return count >= SurgeRequests && rate > 0 ? count * count / (rate * usual) : 0;
 }
 
 /// Returns whether queues grow and the demand has risen sharply. A few intervals later the targets are full.
@@ -233,12 +240,12 @@
     for (const auto &[priority, demand] : m_demands) {
         longTerm += demand.longTerm.rate(now);
     }
-    return demand(now) >= SurgeDemand * longTerm && isQueueGrowing(now);
+    return demand(now) >= SurgeDemand * longTerm && expectedRatio(now) >= SurgeRatio;
 }
 
 bool PriorityAdmission::isShortOfCapacity(TimePoint now) const
 {
-    if (m_surgingIntervals >= SurgeIntervals) {
+    if (isSurging(now)) {
         return true;
     }
     const double share = turnedAwayShare(now);
@@ -261,19 +268,23 @@
     return sum;
 }
 
-/// Returns the rate of good answers. Soon after a limit began, the average still covers the time before the
-/// targets were busy.
+/// Returns whether a limit began recently, so that averages still cover the time before the surge.
+bool PriorityAdmission::isEarly(TimePoint now) const
+{
+    return now - m_limitedAt < 2 * GoodRateTime;
+}
+
 double PriorityAdmission::goodRate(TimePoint now) const
 {
-    const bool isEarly = now - m_limitedAt < 2 * GoodRateTime;
-    return isEarly ? std::max(m_good.rate(now), m_latestGood.rate(now)) : m_good.rate(now);
+    return isEarly(now) ? std::max(m_good.rate(now), m_latestGood.rate(now)) : m_good.rate(now);
 }
 
 /// Returns by how much the rate of good answers should change: up while slots may be empty, down while
 /// targets are full.
 double PriorityAdmission::capacityFactor(TimePoint now) const
 {
-    const double byDelay = RatioGain * (1 - m_delay.ratio(now) / DesiredRatio);
+    const double ratio = isEarly(now) ? std::max(m_delay.ratio(now), expectedRatio(now)) : m_delay.ratio(now);
+    const double byDelay = RatioGain * (1 - ratio / DesiredRatio);
     const double byTurnedAway = TurnedAwayGain * std::max(turnedAwayShare(now) - TolerableShare, 0.0);
     return std::clamp(
         1 + byDelay - std::min(byTurnedAway, MaximumTurnedAwayEffect), MinimumFactor, MaximumFactor);
@@ -282,13 +293,13 @@
 void PriorityAdmission::beginLimit(TimePoint now)
 {
     m_limitedAt = now;
-    m_limit = goodRate(now);
+    m_limit = std::max(goodRate(now), InitialDemandShare * demand(now));
     m_roomyIntervals = 0;
 }
 
 void PriorityAdmission::adaptLimit(TimePoint now)
 {
-    const bool isWaiting = m_delay.answers(now) < 1 || m_delay.ratio(now) >= WaitingRatio;
+    const bool isWaiting = isEarly(now) || m_delay.answers(now) < 1 || m_delay.ratio(now) >= WaitingRatio;
     const double desired = goodRate(now) * capacityFactor(now);
     m_limit = isWaiting ? std::clamp(desired, MinimumStep * m_limit, MaximumStep * m_limit)
                         : MaximumStep * m_limit;
