--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -82,6 +82,31 @@
     }
 }
 
+static void addAdmission(PageBuilder &page, SteeringControl &control, TimePoint now)
+{
+    prometheus::MetricFamily &probabilities = page.family("admission_probability",
+        "The share of new flows that is admitted, by service, data centre and priority.",
+        prometheus::MetricType::Gauge);
+    for (const auto &[key, admission] : control.engine().admissions()) {
+        for (const auto &[priority, probability] : admission.probabilities(now)) {
+            prometheus::ClientMetric metric;
+            metric.label.push_back({"service", key.first});
+            metric.label.push_back({"data_centre", key.second});
+            metric.label.push_back({"priority", std::to_string(priority)});
+            metric.gauge.value = probability;
+            probabilities.metric.push_back(metric);
+        }
+    }
+    prometheus::MetricFamily &refused = page.family("openings_refused_total",
+        "Openings that were refused because all data centres were full, by priority.",
+        prometheus::MetricType::Counter);
+    for (const auto &[priority, count] : control.engine().refusedByPriority()) {
+        prometheus::ClientMetric metric = PageBuilder::counterMetric(count);
+        metric.label.push_back({"priority", std::to_string(priority)});
+        refused.metric.push_back(metric);
+    }
+}
+
 static void addDirectoryState(PageBuilder &page, SteeringControl &control, TimePoint now)
 {
     const FleetControl &fleet = control.fleet();
@@ -108,6 +133,20 @@
         fleet.isReading() ? 1 : 0);
 }
 
+static void addEvacuations(PageBuilder &page, SteeringControl &control)
+{
+    page.gauge("evacuations_revision", "The revision of the store up to which evacuations are known.",
+        static_cast<double>(control.fleet().evacuationsRevision()));
+    prometheus::MetricFamily &evacuations = page.family("data_centre_evacuated",
+        "Whether the targets of a data centre get no new flows.", prometheus::MetricType::Gauge);
+    for (const EvacuationRecord &record : control.engine().targets().evacuations().records()) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({"data_centre", record.dataCentre});
+        metric.gauge.value = record.isActive ? 1 : 0;
+        evacuations.metric.push_back(metric);
+    }
+}
+
 static void addCounters(PageBuilder &page, const SteeringControl &control)
 {
     const StoreCounters &store = control.storeCounters();
@@ -133,8 +172,10 @@
     addPath(page, path);
     addDecisions(page, control.engine().counters());
     addLoads(page, control, now);
+    addAdmission(page, control, now);
     addTargets(page, control, now);
     addDirectoryState(page, control, now);
+    addEvacuations(page, control);
     addCounters(page, control);
     page.counter("log_lines_left_out_total", "Log lines that were left out.", logLinesLeftOut);
     return page.text();
--- a/lib/Steering/priorityadmission.cpp
+++ b/lib/Steering/priorityadmission.cpp
@@ -14,8 +14,6 @@
 /// How often the limit is adapted.
 constexpr Duration Interval = milliseconds(50);
 
-constexpr Duration GoodRateTime = milliseconds(300);
-constexpr Duration LatestGoodTime = milliseconds(100);
 constexpr Duration OutcomeTime = milliseconds(500);
 constexpr Duration DemandTime = milliseconds(150);
 constexpr Duration LongTermTime = seconds(5);
@@ -26,6 +24,9 @@
 /// Without requests turned away for this time, late answers become the usual ones.
 constexpr Duration SlowTargetTime = seconds(3);
 
+/// Flows without a request are forgotten after this time.
+constexpr Duration IdleLifetime = seconds(10);
+
 /// Flows that wait for an answer are remembered up to this number.
 constexpr std::size_t MaximumPending = 8192;
 
@@ -47,7 +48,7 @@
 /// long-term average, show that the targets are going to be full.
 constexpr double SurgeRatio = 2.5;
 constexpr double SurgeDemand = 2;
-constexpr double SurgeRequests = 7;
+constexpr double SurgeRequests = 8;
 
 /// The initial limit is at least this share of the demand, as the rate of good answers lags behind a surge.
 constexpr double InitialDemandShare = 0.65;
@@ -81,9 +82,7 @@
 constexpr std::uint64_t AdmissionSalt = 0x61646d6974;
 
 PriorityAdmission::PriorityAdmission()
-    : m_good(GoodRateTime)
-    , m_latestGood(LatestGoodTime)
-    , m_outcomes(OutcomeTime)
+    : m_outcomes(OutcomeTime)
     , m_turnedAway(OutcomeTime)
 {
 }
@@ -109,7 +108,8 @@
         return turnedAwayShare(now) <= HighestPriorityShare;
     }
     if (m_delay.answers(now) < 1) {
-        return m_pending.empty();
+        return std::none_of(
+            m_pending.begin(), m_pending.end(), [](const auto &entry) { return entry.second.isAwaited; });
     }
     return !isLimited(now) && m_delay.ratio(now) < WaitingRatio && turnedAwayShare(now) <= ShortShare;
 }
@@ -117,15 +117,21 @@
 void PriorityAdmission::recordSent(const SentRequest &request, TimePoint now)
 {
     if (m_pending.size() < MaximumPending) {
-        m_pending.insert_or_assign(
-            request.flow, PendingAnswer{request.target, request.route, now, now + request.patience});
+        PendingAnswer &pending = m_pending[request.flow];
+        pending = {request.target, request.route, now, now + request.patience,
+            request.isOpening || pending.isNewFlow, true};
     }
     advance(now);
 }
 
-void PriorityAdmission::recordSettled(std::uint64_t flow)
+void PriorityAdmission::recordSettled(std::uint64_t flow, TimePoint now)
 {
-    m_pending.erase(flow);
+    const auto pending = m_pending.find(flow);
+    if (pending == m_pending.end()) {
+        return;
+    }
+    pending->second.isAwaited = false;
+    pending->second.overdueAt = now + IdleLifetime;
 }
 
 void PriorityAdmission::recordUnanswered(std::uint64_t flow, TimePoint now)
@@ -138,12 +144,16 @@
 
 void PriorityAdmission::recordAnswer(const ObservedAnswer &answer, TimePoint now)
 {
+    const auto pending = m_pending.find(answer.flow);
+    const bool isNewFlow = pending != m_pending.end() && pending->second.isNewFlow;
     m_pending.erase(answer.flow);
     m_answeredAt = now;
     recordOutcome(answer.target, !answer.isFailed, now);
     if (!answer.isFailed) {
-        m_good.add(1, now);
-        m_latestGood.add(1, now);
+        m_good.add(now);
+        if (isNewFlow) {
+            m_goodFlows.add(now);
+        }
         m_delay.recordAnswer(answer.route, answer.time, isCalm(now), now);
     }
     advance(now);
@@ -163,7 +173,7 @@
 {
     std::erase_if(m_pending, [this, now](const auto &entry) {
         const bool isOverdue = now >= entry.second.overdueAt;
-        if (isOverdue) {
+        if (isOverdue && entry.second.isAwaited) {
             recordOutcome(entry.second.target, false, now);
         }
         return isOverdue;
@@ -224,12 +234,13 @@
     double usual = 0;
     double count = 0;
     for (const auto &[flow, pending] : m_pending) {
-        if (const std::optional<double> seconds = m_delay.usualSeconds(pending.route)) {
+        const std::optional<double> seconds = m_delay.usualSeconds(pending.route);
+        if (seconds && pending.isAwaited) {
             usual += *seconds;
             ++count;
         }
     }
-    const double rate = std::max(m_good.rate(now), m_latestGood.rate(now));
+    const double rate = m_good.rising(now);
     return count >= SurgeRequests && rate > 0 ? count * count / (rate * usual) : 0;
 }
 
@@ -271,12 +282,13 @@
 /// Returns whether a limit began recently, so that averages still cover the time before the surge.
 bool PriorityAdmission::isEarly(TimePoint now) const
 {
-    return now - m_limitedAt < 2 * GoodRateTime;
+    return now - m_limitedAt < 2 * AnswerRate::AverageTime;
 }
 
-double PriorityAdmission::goodRate(TimePoint now) const
+/// Returns the rate at which the targets answer flows of this instance.
+double PriorityAdmission::capacity(TimePoint now) const
 {
-    return isEarly(now) ? std::max(m_good.rate(now), m_latestGood.rate(now)) : m_good.rate(now);
+    return isEarly(now) ? m_goodFlows.rising(now) : m_goodFlows.average(now);
 }
 
 /// Returns by how much the rate of good answers should change: up while slots may be empty, down while
@@ -293,14 +305,14 @@
 void PriorityAdmission::beginLimit(TimePoint now)
 {
     m_limitedAt = now;
-    m_limit = std::max(goodRate(now), InitialDemandShare * demand(now));
+    m_limit = std::max(capacity(now), InitialDemandShare * demand(now));
     m_roomyIntervals = 0;
 }
 
 void PriorityAdmission::adaptLimit(TimePoint now)
 {
     const bool isWaiting = isEarly(now) || m_delay.answers(now) < 1 || m_delay.ratio(now) >= WaitingRatio;
-    const double desired = goodRate(now) * capacityFactor(now);
+    const double desired = capacity(now) * capacityFactor(now);
     m_limit = isWaiting ? std::clamp(desired, MinimumStep * m_limit, MaximumStep * m_limit)
                         : MaximumStep * m_limit;
     const bool isRoomy = m_limit >= LiftFactor * demand(now) && m_delay.ratio(now) < DesiredRatio;
--- a/unittests/Steering/priorityadmissiontest.cpp
+++ b/unittests/Steering/priorityadmissiontest.cpp
@@ -34,20 +34,23 @@
             ++offered[flow % 2];
             if (admission.admits(priority, flow, now)) {
                 ++admitted[flow % 2];
-                send(flow, behaviour);
+                for (unsigned request = 0; request < requestsPerFlow; ++request) {
+                    send(flow, request == 0, behaviour);
+                }
             }
         }
         return {double(admitted[0]) / offered[0], double(admitted[1]) / offered[1]};
     }
 
     PriorityAdmission admission;
+    unsigned requestsPerFlow = 1;
     TimePoint now = Start;
 
 private:
-    void send(std::uint64_t flow, Behaviour behaviour)
+    void send(std::uint64_t flow, bool isOpening, Behaviour behaviour)
     {
         const std::uint64_t target = flow % 40;
-        admission.recordSent({flow, target, 1, milliseconds(500)}, now);
+        admission.recordSent({flow, target, 1, milliseconds(500), isOpening}, now);
         if (behaviour == Behaviour::AnswerNothing) {
             return;
         }
@@ -79,6 +82,17 @@
     EXPECT_LT(lower, 0.6);
 }
 
+/// Guards against a limit that is never reached where flows carry many requests.
+TEST_F(PriorityAdmissionTest, TheLimitIsOneOfFlowsNotOfRequests)
+{
+    requestsPerFlow = 3;
+    offer(15, seconds(5), Behaviour::Answer);
+    offer(60, seconds(2), Behaviour::TurnAwayExcess);
+    ASSERT_TRUE(admission.isLimited(now));
+    EXPECT_LT(admission.limit(), 60);
+    EXPECT_LT(offer(60, seconds(1), Behaviour::TurnAwayExcess).second, 0.6);
+}
+
 /// Guards against a limit on a service of which one target fails everything.
 TEST_F(PriorityAdmissionTest, OneBrokenTargetSetsNoLimit)
 {
@@ -126,7 +140,7 @@
 TEST_F(PriorityAdmissionTest, ADataCentreWithoutAnswersGetsOneSpilledFlowAtATime)
 {
     EXPECT_TRUE(admission.admitsSpilled(2, now));
-    admission.recordSent({1, 1, 1, milliseconds(500)}, now);
+    admission.recordSent({1, 1, 1, milliseconds(500), true}, now);
     EXPECT_FALSE(admission.admitsSpilled(2, now));
     now += milliseconds(600);
     EXPECT_TRUE(admission.admitsSpilled(2, now));
