--- a/include/jasminequay/Steering/priorityadmission.h
+++ b/include/jasminequay/Steering/priorityadmission.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jasminequay/Steering/answerdelay.h"
+#include "jasminequay/Steering/answerrate.h"
 #include "jasminequay/Steering/decayingsum.h"
 #include "jasminequay/Steering/failingtargets.h"
 #include "jasminequay/Support/timepoint.h"
@@ -23,6 +24,7 @@
     std::uint64_t target = 0; ///< The key of its target.
     std::uint64_t route = 0; ///< A key of its route.
     Duration patience{}; ///< Without an answer for this time it counts as turned away.
+    bool isOpening = false;
 };
 
 /// An answer, as an instance observes it.
@@ -56,8 +58,9 @@
     /// Records that an opening packet or a request was sent.
     void recordSent(const SentRequest &request, TimePoint now);
 
-    /// Records that nothing is expected from the target for now.
-    void recordSettled(std::uint64_t flow);
+    /// Records that nothing is expected from the target for now: a flow is open and has sent no request yet,
+    /// or its caller has abandoned it.
+    void recordSettled(std::uint64_t flow, TimePoint now);
 
     /// Records that a target left an opening packet unanswered.
     void recordUnanswered(std::uint64_t flow, TimePoint now);
@@ -104,19 +107,23 @@
         std::uint64_t target = 0;
         std::uint64_t route = 0;
         TimePoint sentAt;
-        TimePoint overdueAt;
+        TimePoint overdueAt; ///< When it counts as turned away, or is forgotten if no answer is awaited.
+        bool isNewFlow = false; ///< Whether the flow has had no answer yet.
+        bool isAwaited = true;
     };
 
     void advance(TimePoint now);
     void recordOutcome(std::uint64_t target, bool isGood, TimePoint now);
     void recordOverdue(TimePoint now);
     [[nodiscard]] bool isShortOfCapacity(TimePoint now) const;
-    [[nodiscard]] bool isQueueGrowing(TimePoint now) const;
+    [[nodiscard]] double expectedRatio(TimePoint now) const;
+    [[nodiscard]] bool isEarly(TimePoint now) const;
     [[nodiscard]] bool isSurging(TimePoint now) const;
     [[nodiscard]] bool isAboveOthers(std::uint32_t priority) const;
+    [[nodiscard]] bool isCalm(TimePoint now) const;
     [[nodiscard]] double demand(TimePoint now) const;
     [[nodiscard]] double capacityFactor(TimePoint now) const;
-    [[nodiscard]] double goodRate(TimePoint now) const;
+    [[nodiscard]] double capacity(TimePoint now) const;
     void beginLimit(TimePoint now);
     void adaptLimit(TimePoint now);
     void liftLimit();
@@ -124,17 +131,17 @@
 
     FailingTargets m_targets;
     AnswerDelay m_delay;
-    DecayingSum m_good; ///< Good answers, for their rate.
-    DecayingSum m_latestGood; ///< The same over a shorter time.
+    AnswerRate m_good; ///< Good answers.
+    AnswerRate m_goodFlows; ///< The first good answers of flows. The limit is one of flows, not of requests.
     DecayingSum m_outcomes; ///< Answers and missing answers that are evidence about the load.
     DecayingSum m_turnedAway; ///< Those of m_outcomes that were not good.
     std::map<std::uint32_t, Demand> m_demands; ///< By priority.
     std::unordered_map<std::uint64_t, PendingAnswer> m_pending; ///< By flow.
     TimePoint m_advancedAt;
     TimePoint m_answeredAt;
+    TimePoint m_turnedAwayAt; ///< When a target last turned a request away.
     TimePoint m_limitedAt; ///< When the limit began.
     double m_limit = std::numeric_limits<double>::infinity();
-    unsigned m_surgingIntervals = 0;
     unsigned m_roomyIntervals = 0; ///< Consecutive intervals in which the limit was above the demand.
 };
 
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -226,7 +226,7 @@
     PriorityAdmission *admissionAt(const TargetRecord &target);
     [[nodiscard]] bool admitsByPriority(const Route &route, const TargetRecord &target,
         std::uint64_t flowHash, bool isFirstChoice, TimePoint now);
-    void recordSent(const SteeredFlow &flow, const KnownTarget &target, TimePoint now);
+    void recordSent(const SteeredFlow &flow, const KnownTarget &target, bool isOpening, TimePoint now);
     [[nodiscard]] InFlightRequests inFlightAt(const TargetRecord &target, TimePoint now);
     void bind(FlowState &state, KnownTarget &target, SteeringToken token);
     FlowState &findOrAddFlow(const SteeredFlow &flow);
--- a/lib/Node/loadwatch.cpp
+++ b/lib/Node/loadwatch.cpp
@@ -24,6 +24,28 @@
             m_overloaded.erase(key);
         }
     }
+    logAdmission(engine, now);
+}
+
+void LoadWatch::logAdmission(const SteeringEngine &engine, TimePoint now)
+{
+    for (const auto &[key, admission] : engine.admissions()) {
+        const bool isLimited = admission.isLimited(now);
+        if (isLimited == m_limited.contains(key)) {
+            continue;
+        }
+        LogEvent event(isLimited ? Severity::Warning : Severity::Info,
+            isLimited ? "admission-limited" : "admission-unlimited");
+        event.with("service", key.first).with("data_centre", key.second);
+        event.with("turned_away_share", admission.turnedAwayShare(now));
+        event.with("delay_ratio", admission.delayRatio(now));
+        if (isLimited) {
+            event.with("limit_per_second", admission.limit());
+            m_limited.insert(key);
+        } else {
+            m_limited.erase(key);
+        }
+    }
 }
 
 } // namespace jasminequay
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -125,6 +125,31 @@
     }
 }
 
+static void addAdmission(PageBuilder &page, SteeringControl &control, TimePoint now)
+{
+    prometheus::MetricFamily &probabilities = page.family("admission_probability",
+        "The share of new flows that is admitted, by service, data centre and priority.",
+        prometheus::MetricType::Gauge);
+    for (const auto &[key, admission] : control.engine().admissions()) {
+        for (const auto &[priority, probability] : admission.probabilities(now)) {
+            prometheus::ClientMetric metric;
+            metric.label.push_back({"service", key.first});
+            metric.label.push_back({"data_centre", key.second});
+            metric.label.push_back({"priority", std::to_string(priority)});
+            metric.gauge.value = probability;
+            probabilities.metric.push_back(metric);
+        }
+    }
+    prometheus::MetricFamily &refused = page.family("openings_refused_total",
+        "Openings that were refused because all data centres were full, by priority.",
+        prometheus::MetricType::Counter);
+    for (const auto &[priority, count] : control.engine().refusedByPriority()) {
+        prometheus::ClientMetric metric = PageBuilder::counterMetric(count);
+        metric.label.push_back({"priority", std::to_string(priority)});
+        refused.metric.push_back(metric);
+    }
+}
+
 static void addDirectoryState(PageBuilder &page, SteeringControl &control, TimePoint now)
 {
     const FleetControl &fleet = control.fleet();
@@ -191,6 +216,7 @@
     addDecisions(page, control.engine().counters());
     addLoads(page, control, now);
     addColdTargets(page, control.engine().coldTargets());
+    addAdmission(page, control, now);
     addTargets(page, control, now);
     addOutliers(page, control, now);
     addDirectoryState(page, control, now);
--- a/lib/Steering/steeringadmission.cpp
+++ b/lib/Steering/steeringadmission.cpp
@@ -47,7 +47,8 @@
 }
 
 /// Records that an opening packet or the begin of a request was sent to a target.
-void SteeringEngine::recordSent(const SteeredFlow &flow, const KnownTarget &target, TimePoint now)
+void SteeringEngine::recordSent(
+    const SteeredFlow &flow, const KnownTarget &target, bool isOpening, TimePoint now)
 {
     PriorityAdmission *const admission = admissionAt(target.record);
     if (admission == nullptr) {
@@ -57,7 +58,7 @@
     const Duration objective = route == nullptr ? Duration::zero() : route->objective;
     const Duration patience = objective > Duration::zero() ? objective : MaximumPatience;
     admission->recordSent({flow.hash(), target.key, flow.service.packed(),
-                              std::clamp(patience, MinimumPatience, MaximumPatience)},
+                              std::clamp(patience, MinimumPatience, MaximumPatience), isOpening},
         now);
 }
 
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -203,7 +203,7 @@
     watchOpening(packet.flow, state, now);
     target->openings.recordOpening(now);
     m_targets.openingsOf(target->record.dataCentre).recordOpening(now);
-    recordSent(packet.flow, *target, now);
+    recordSent(packet.flow, *target, true, now);
     m_coldTargets.recordFlow(*target, now);
     return makeForward(*target, token, isMoved ? SteeringCause::PlacedAgain : SteeringCause::Placed);
 }
@@ -283,7 +283,7 @@
     trackProgress(packet, state, *target, now);
     if (packet.isReset) {
         if (PriorityAdmission *const admission = admissionAt(target->record)) {
-            admission->recordSettled(packet.flow.hash());
+            admission->recordSettled(packet.flow.hash(), now);
         }
         unbind(state);
         m_flows.erase(packet.flow);
@@ -333,7 +333,7 @@
         if (packet.dataSize > 0 && !state.isResponsePending) {
             state.isResponsePending = true;
             beginRequest(state, target, now);
-            recordSent(packet.flow, target, now);
+            recordSent(packet.flow, target, false, now);
             watchRequest(packet.flow, state, now);
         }
     } else if (isNew || isAcknowledging) {
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -44,7 +44,7 @@
     PriorityAdmission *const admission = admissionAt(target.record);
     if (!state.isRequestInFlight) {
         if (admission != nullptr) {
-            admission->recordSettled(flow.hash());
+            admission->recordSettled(flow.hash(), now);
         }
         return;
     }
