--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -131,6 +131,12 @@
         return m_engine.targets().evacuations().revision();
     }
 
+    /// Returns the highest era of the store that is known.
+    [[nodiscard]] std::uint32_t storeEra() const
+    {
+        return m_storeEra;
+    }
+
     [[nodiscard]] bool isReading() const
     {
         return m_plan.isReading();
@@ -148,10 +154,12 @@
     }
 
 private:
+    using RoutesOrder = std::pair<std::uint32_t, std::uint64_t>;
+
     /// How current the local copy of the directory is.
     struct Progress {
         std::uint64_t revision;
-        std::uint64_t routesVersion;
+        RoutesOrder routesOrder;
         TimePoint currentAt;
         std::uint64_t evacuationChanges;
     };
@@ -170,7 +178,13 @@
     void onStatus(const FleetMessage &message, FleetActions &actions, TimePoint now);
     void apply(const DirectoryUpdate &update, TimePoint now);
     void applyRoutes(const std::optional<RouteConfiguration> &routes, std::uint64_t revision, TimePoint now);
-    void applyEvacuations(const StoreAnswer &answer);
+    void raiseStoreEra(std::uint32_t era, TimePoint now);
+    [[nodiscard]] StoreOutcome outcomeInEra(const StoreAnswer &answer, TimePoint now);
+    [[nodiscard]] bool isHeldBack(const RouteConfiguration &routes, TimePoint now) const;
+    [[nodiscard]] RoutesOrder knownRoutesOrder() const;
+    [[nodiscard]] std::uint64_t provedRoutesRevision() const;
+    void applyHeldRoutes(FleetActions &actions, TimePoint now);
+    void applyEvacuations(const StoreAnswer &answer, TimePoint now);
     void mergeEvacuations(const DirectoryStatus &status, TimePoint now);
     void markEvacuationsCurrentAt(TimePoint at);
     [[nodiscard]] bool areTargetsUsable(const FetchResponse &response) const;
@@ -206,6 +220,10 @@
     /// The store revision up to which the routes are known. Reads of the store continue from the lowest of
     /// these two and that of the evacuations.
     std::uint64_t m_routesRevision = 0;
+    std::uint32_t m_storeEra = 0; ///< The highest era that the store or a peer has named.
+    TimePoint m_storeEraSince; ///< When this era became known.
+    /// Routes of a new era with a lower version than those in force, which stay for the settings bound.
+    std::optional<RouteConfiguration> m_heldRoutes;
     /// The latest time at which the evacuations were proved to be complete. Peers of older versions prove
     /// only that routes and targets are.
     TimePoint m_evacuationsCurrentAt;
--- a/include/jasminequay/Fleet/fleetnews.h
+++ b/include/jasminequay/Fleet/fleetnews.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminequay
@@ -21,11 +22,19 @@
     Duration age{}; ///< Time since they were last known to be complete, as of sending.
     bool isReading = false; ///< Whether the sender reads the store.
     /// The store revision up to which no newer routes than `routesVersion` exist. Lower than `revision` while
-    /// the sender has the targets of a revision, but not yet its routes.
+    /// the sender has the targets of a revision, but not yet its routes; zero while its routes are of an
+    /// earlier era than that revision.
     std::uint64_t routesRevision = 0;
     /// The store revision up to which `evacuations` is complete; zero from senders that do not know them.
     std::uint64_t evacuationsRevision = 0;
     std::vector<EvacuationRecord> evacuations; ///< All entries, ended ones included.
+    std::uint32_t routesEra = 0; ///< The era in which `routesVersion` was read.
+
+    /// Returns what orders the routes of instances.
+    [[nodiscard]] std::pair<std::uint32_t, std::uint64_t> routesOrder() const
+    {
+        return {routesEra, routesVersion};
+    }
 };
 
 /// The changes of the directory after a revision, without routes, which receivers fetch separately.
--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -124,6 +124,7 @@
     bool m_isStoreFailing = false;
     bool m_isLeaving = false;
     std::uint64_t m_loggedVersion = 0;
+    std::uint32_t m_loggedEra = 0;
     bool m_wasReading = false;
     std::map<std::uint64_t, TimePoint> m_lossReportTimes;
     TimePoint m_lastTickAt;
--- a/include/jasminequay/Steering/directoryupdate.h
+++ b/include/jasminequay/Steering/directoryupdate.h
@@ -49,6 +49,8 @@
     std::string reason; ///< The reason for a failure, for logs.
     unsigned calls = 0; ///< The number of calls that the read took.
     bool isStale = false; ///< Whether the data may be seconds old.
+    /// The era that the answer names; nothing if there was no answer.
+    std::optional<std::uint32_t> era = std::nullopt;
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/evacuationtable.h
+++ b/include/jasminequay/Steering/evacuationtable.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "jasminequay/Steering/evacuationrecord.h"
+#include "jasminequay/Steering/storerevision.h"
+#include "jasminequay/Support/timepoint.h"
 
 #include <map>
 #include <string>
@@ -16,15 +18,19 @@
 {
 public:
     /// Applies the changes of the store up to `revision`; all changes since revision() must be among them.
-    void applyChanges(const std::vector<EvacuationRecord> &changes, std::uint64_t revision);
+    void applyChanges(const std::vector<EvacuationRecord> &changes, StoreRevision revision, TimePoint now);
 
-    /// Merges a complete table that is known up to `revision`, from the store or from a peer. Evacuations up
-    /// to that revision that it lacks have ended. With revision 0 the table may be incomplete, and nothing
-    /// ends.
-    void mergeAll(const std::vector<EvacuationRecord> &records, std::uint64_t revision);
+    /// Merges a complete table that is known up to `revision`, from the store or from a peer. Evacuations of
+    /// the same era up to that revision that it lacks have ended. With revision 0 the table may be
+    /// incomplete, and nothing ends.
+    void mergeAll(const std::vector<EvacuationRecord> &records, StoreRevision revision, TimePoint now);
+
+    /// Ends evacuations of earlier eras that have not been written again for `grace` since the present era
+    /// became known.
+    void expire(Duration grace, TimePoint now);
 
     /// Returns the store revision up to which all evacuations are known.
-    [[nodiscard]] std::uint64_t revision() const
+    [[nodiscard]] StoreRevision revision() const
     {
         return m_revision;
     }
@@ -49,11 +55,15 @@
 
 private:
     void put(const EvacuationRecord &record);
-    void finishUpdate(std::uint64_t revision);
+    void finishUpdate(StoreRevision revision, TimePoint now);
+    void refresh();
+    [[nodiscard]] bool isForgotten(const EvacuationRecord &record) const;
 
     std::map<std::string, EvacuationRecord> m_records; ///< By data centre.
     std::vector<std::string> m_evacuated;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision = 0;
+    TimePoint m_eraSince; ///< When the era of `m_revision` became known.
+    bool m_isGracePending = false; ///< Whether evacuations of earlier eras have not ended yet.
     std::uint64_t m_changeCount = 0;
 };
 
--- a/include/jasminequay/Steering/route.h
+++ b/include/jasminequay/Steering/route.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jasminequay
@@ -46,6 +47,13 @@
     std::vector<Route> routes;
     /// The services that are declared, with or without a route, and the health check path of their targets.
     std::map<std::string, std::string> healthPaths;
+    std::uint32_t era = 0; ///< The era of the store in which this version was read.
+
+    /// Returns what orders configurations: a restore of the store can bring lower versions back.
+    [[nodiscard]] std::pair<std::uint32_t, std::uint64_t> order() const
+    {
+        return {era, version};
+    }
 };
 
 } // namespace jasminequay
--- a/include/jasminequay/Steering/routetable.h
+++ b/include/jasminequay/Steering/routetable.h
@@ -10,11 +10,12 @@
 namespace jasminequay
 {
 
-/// Holds the newest route configuration. The version in force never decreases.
+/// Holds the newest route configuration. Within an era of the store the version in force never decreases.
 class RouteTable
 {
 public:
-    /// Replaces the configuration in force if the version of the new one is higher; returns whether it did.
+    /// Replaces the configuration in force if the new one is of a later era, or of the same era with a higher
+    /// version; returns whether it did.
     bool replaceAll(RouteConfiguration configuration);
 
     /// Returns the route of an address; null if there is none.
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -103,7 +103,7 @@
         return m_loads;
     }
 
-    /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
+    /// Replaces the routes in force if the new ones are later by era and version; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
 
     [[nodiscard]] const RouteTable &routes() const
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -64,8 +64,10 @@
     /// Sets the services that the configuration names. Targets that are already assigned remain so.
     void setServices(std::set<std::string, std::less<>> services, TimePoint now);
 
-    /// Adds or updates a published entry. An entry of a service that is not named does not affect other
-    /// targets, except that a target whose own entry it replaces is no longer listed.
+    /// Adds or updates a published entry. An entry of a new era that is older than what is known of its
+    /// target takes effect after the grace period only, unless it is written again. An entry of a service
+    /// that is not named does not affect other targets, except that a target whose own entry it replaces is
+    /// no longer listed.
     void put(const TargetRecord &record, TimePoint now);
 
     /// Records the removal of an entry at store revision `revision`.
@@ -123,6 +125,10 @@
     /// Returns the removals of entries after a revision.
     [[nodiscard]] std::vector<TargetRemoval> removalsAfter(std::uint64_t revision) const;
 
+    /// Returns the records after a revision that are held back: after a restore of the store they are older
+    /// than what is known of their targets, and take effect only if they are not replaced in time.
+    [[nodiscard]] std::vector<TargetRecord> heldRecordsAfter(StoreRevision revision) const;
+
     /// Returns the revision after which all removals are known. A peer with an older revision must receive
     /// the complete list, as the entries removed since cannot be enumerated.
     [[nodiscard]] std::uint64_t removalsKnownSince() const
@@ -171,6 +177,18 @@
     }
 
 private:
+    /// A record of a new era that is older than what is known of its target.
+    struct HeldRecord {
+        TargetRecord record;
+        TimePoint until; ///< When it is applied unless a newer one comes.
+    };
+
+    void apply(const TargetRecord &record, TimePoint now);
+    [[nodiscard]] bool isHeld(const TargetRecord &record, TimePoint now);
+    [[nodiscard]] bool isFromOlderCopy(const TargetRecord &record);
+    void applyHeldRecords(TimePoint now);
+    /// Drops the held records up to a revision that a complete list at that revision lacks.
+    void dropHeldRecords(const std::set<std::string> &listed, StoreRevision revision);
     void setPresence(KnownTarget &target, TargetPresence presence, TimePoint now);
     void markGone(KnownTarget &target, TimePoint now);
     void eraseTarget(std::map<std::uint64_t, KnownTarget>::iterator position);
@@ -190,6 +208,9 @@
     std::unordered_map<std::string, std::uint64_t> m_byName; ///< The key of the newest start by name.
     std::unordered_map<std::string, std::uint64_t> m_removals; ///< The revision of each removal by name.
     std::uint64_t m_removalsKnownSince = 0;
+    std::unordered_map<std::string, HeldRecord> m_held; ///< By name.
+    std::uint32_t m_era = 0; ///< The highest era of an entry.
+    TimePoint m_eraSince; ///< When the first entry of this era came.
     std::unordered_map<std::uint64_t, std::uint64_t> m_byAddress; ///< The newest target's key by address.
     EvacuationTable m_evacuations;
     std::unordered_map<std::string, OpeningWatch> m_openings; ///< By data centre.
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -76,12 +76,13 @@
 StoreReadRequest FleetControl::nextRead(TimePoint now) const
 {
     StoreReadRequest request;
-    const bool isTooSoon = !m_needsCompleteRead && now - m_readAt < m_plan.timing().minimumInterval;
-    request.isWanted = !isTooSoon && m_plan.wantsRead(readerView(), now);
-    request.isComplete = m_needsCompleteRead;
-    request.mayBeStale = !m_isLoaded && !m_hasLostHistory;
     // Reading changes between these revisions again is harmless.
     request.after = std::min({m_revision, m_routesRevision, evacuationsRevision()});
+    // Changes can be read only within an era.
+    request.isComplete = m_needsCompleteRead || eraOf(request.after) < m_storeEra;
+    request.mayBeStale = !m_isLoaded && !m_hasLostHistory;
+    const bool isTooSoon = !request.isComplete && now - m_readAt < m_plan.timing().minimumInterval;
+    request.isWanted = !isTooSoon && m_plan.wantsRead(readerView(), now);
     request.wait = m_plan.timing().wait;
     request.timeout = m_plan.timing().timeout;
     request.repeatAfter = request.mayBeStale ? FirstReadRepeatInterval : Duration::zero();
@@ -96,7 +97,8 @@
     status.routesVersion = m_engine.routes().configuration().version;
     status.age = now - m_engine.currentAt();
     status.isReading = m_plan.isReading();
-    status.routesRevision = m_routesRevision;
+    status.routesEra = m_engine.routes().configuration().era;
+    status.routesRevision = provedRoutesRevision();
     status.evacuationsRevision = evacuationsRevision();
     status.evacuations = m_engine.targets().evacuations().records();
     return status;
@@ -140,6 +142,7 @@
         onFetchFailed(now);
     }
     FleetActions actions;
+    applyHeldRoutes(actions, now);
     if (m_deferredFetch && now >= m_deferredFetch->until) {
         if (isBehind(m_deferredFetch->status)) {
             fetchFrom(m_deferredFetch->member, actions, now);
@@ -169,9 +172,16 @@
 void FleetControl::applyRoutes(
     const std::optional<RouteConfiguration> &routes, std::uint64_t revision, TimePoint now)
 {
-    if (routes && m_engine.replaceRoutes(*routes, now)) {
+    if (routes && isHeldBack(*routes, now)) {
+        if (!m_heldRoutes || m_heldRoutes->order() < routes->order()) {
+            m_heldRoutes = routes;
+        }
+    } else if (routes && m_engine.replaceRoutes(*routes, now)) {
         m_members.setSettingsVersion(routes->version);
     }
+    if (m_heldRoutes && m_heldRoutes->order() <= m_engine.routes().configuration().order()) {
+        m_heldRoutes.reset();
+    }
     m_routesRevision = std::max(m_routesRevision, revision);
 }
 
@@ -206,7 +216,7 @@
 
 FleetActions FleetControl::onStoreAnswer(const StoreAnswer &answer, TimePoint startedAt, TimePoint now)
 {
-    switch (answer.outcome) {
+    switch (outcomeInEra(answer, now)) {
     case StoreOutcome::Answered: {
         const bool hasNoChanges = !answer.update.isComplete && !answer.update.routes
             && answer.update.targets.empty() && answer.update.removals.empty()
@@ -217,7 +227,7 @@
         m_readAt = answer.isStale ? TimePoint{} : now;
         applyRoutes(answer.update.routes, answer.update.revision, now);
         apply(answer.update, now);
-        applyEvacuations(answer);
+        applyEvacuations(answer, now);
         m_plan.noteSuccess(now);
         m_members.setPlatformFailing(false);
         if (answer.isStale) {
@@ -261,14 +271,14 @@
     m_fetchingSince = now;
     m_fetchedMember = member;
     m_isFetchingRemotely = !isLocalDataCentre(found->second.known.dataCentre);
-    actions.fetch = FetchRequest{found->second.peerControl,
-        m_isLoaded && !m_needsCompleteFetch ? m_revision : 0, m_engine.routes().configuration().version};
+    actions.fetch
+        = FetchRequest{found->second.peerControl, m_isLoaded && !m_needsCompleteFetch ? m_revision : 0,
+            knownRoutesOrder().first < m_storeEra ? 0 : knownRoutesOrder().second};
 }
 
 bool FleetControl::isBehind(const DirectoryStatus &status) const
 {
-    return status.revision > m_revision || status.routesVersion > m_engine.routes().configuration().version
-        || !m_isLoaded;
+    return status.revision > m_revision || status.routesOrder() > knownRoutesOrder() || !m_isLoaded;
 }
 
 /// Fetches at once, or defers the fetch to give the parent in the fetch tree time to deliver the changes.
@@ -287,6 +297,7 @@
 {
     const DirectoryStatus &status = message.status;
     const DirectoryChanges &changes = message.changes;
+    raiseStoreEra(eraOf(status.revision), now);
     mergeEvacuations(status, now);
     const bool isInGap = m_revision > changes.after && m_revision < changes.completeReadRevision;
     const bool isApplicable = m_isLoaded && changes.revision == status.revision && changes.after <= m_revision
@@ -294,7 +305,7 @@
     if (isApplicable) {
         apply({status.revision, false, std::nullopt, changes.targets, changes.removals, {}, {}}, now);
     }
-    if (m_isLoaded && status.routesVersion <= m_engine.routes().configuration().version) {
+    if (m_isLoaded && status.routesOrder() <= knownRoutesOrder()) {
         applyRoutes(std::nullopt, status.routesRevision, now);
     }
     if (isBehind(status)) {
@@ -343,8 +354,8 @@
 
 FleetControl::Progress FleetControl::progress() const
 {
-    return {m_revision, m_engine.routes().configuration().version, m_engine.currentAt(),
-        m_engine.targets().evacuations().changeCount()};
+    return {
+        m_revision, knownRoutesOrder(), m_engine.currentAt(), m_engine.targets().evacuations().changeCount()};
 }
 
 /// Relays within the own data centre what came from another one: after that, the own reader may have no
@@ -352,7 +363,7 @@
 void FleetControl::relay(const Progress &before, FleetActions &actions, TimePoint now)
 {
     const Progress after = progress();
-    const bool isChanged = after.revision > before.revision || after.routesVersion > before.routesVersion
+    const bool isChanged = after.revision > before.revision || after.routesOrder > before.routesOrder
         || after.evacuationChanges > before.evacuationChanges;
     const bool isFresher = !m_plan.isReading() && after.currentAt - before.currentAt > RelayInterval
         && now - m_relayedAt >= RelayInterval;
--- a/lib/Fleet/fleetevacuations.cpp
+++ b/lib/Fleet/fleetevacuations.cpp
@@ -6,13 +6,13 @@
 namespace jasminequay
 {
 
-void FleetControl::applyEvacuations(const StoreAnswer &answer)
+void FleetControl::applyEvacuations(const StoreAnswer &answer, TimePoint now)
 {
     EvacuationTable &evacuations = m_engine.targets().evacuations();
     if (answer.update.isComplete) {
-        evacuations.mergeAll(answer.update.evacuations, answer.update.revision);
+        evacuations.mergeAll(answer.update.evacuations, answer.update.revision, now);
     } else {
-        evacuations.applyChanges(answer.update.evacuations, answer.update.revision);
+        evacuations.applyChanges(answer.update.evacuations, answer.update.revision, now);
     }
 }
 
@@ -20,7 +20,7 @@
 /// evacuations up to the revision to which the age of its status refers.
 void FleetControl::mergeEvacuations(const DirectoryStatus &status, TimePoint now)
 {
-    m_engine.targets().evacuations().mergeAll(status.evacuations, status.evacuationsRevision);
+    m_engine.targets().evacuations().mergeAll(status.evacuations, status.evacuationsRevision, now);
     if (status.evacuationsRevision > 0 && status.evacuationsRevision >= status.revision) {
         markEvacuationsCurrentAt(now - status.age);
     }
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -34,6 +34,11 @@
             changes.removals.push_back({target.record.name, update.revision});
         }
     }
+    for (const TargetRecord &record : m_engine.targets().heldRecordsAfter(0)) {
+        if (!known.contains(record.name) && !listed.contains(record.name)) {
+            changes.removals.push_back({record.name, update.revision});
+        }
+    }
     for (const auto &[name, record] : listed) {
         const auto before = known.find(name);
         if (before == known.end() || before->second < record->revision) {
@@ -76,7 +81,7 @@
     response.after = after;
     response.age = now - m_engine.currentAt();
     response.removalsKnownSince = m_engine.targets().removalsKnownSince();
-    response.routesRevision = m_routesRevision;
+    response.routesRevision = provedRoutesRevision();
     response.evacuationsRevision = evacuationsRevision();
     response.update.evacuations = m_engine.targets().evacuations().records();
     response.update.revision = m_revision;
@@ -95,6 +100,9 @@
         record.warmUpLeft = std::max<Duration>(target.warmUpEndsAt - now, Duration::zero());
         (isGone ? response.update.tombstones : response.update.targets).push_back(std::move(record));
     }
+    for (TargetRecord &record : m_engine.targets().heldRecordsAfter(after)) {
+        response.update.targets.push_back(std::move(record));
+    }
     if (after > 0 && !isEachRemovalNamed) {
         response.listingChecksum = checksumListing(after, response.update);
     }
@@ -110,6 +118,7 @@
 FleetActions FleetControl::onFetchResponse(const FetchResponse &response, TimePoint now)
 {
     const TimePoint requestedAt = std::exchange(m_fetchingSince, TimePoint{});
+    raiseStoreEra(eraOf(response.update.revision), now);
     FleetActions actions;
     if (areTargetsUsable(response) && response.listingChecksum
         && *response.listingChecksum != checksumListing(response.after, response.update)) {
@@ -120,14 +129,14 @@
     const Progress before = progress();
     // Routes have versions of their own, so they are used even if the targets here have become newer.
     applyRoutes(response.update.routes, response.routesRevision, now);
-    m_engine.targets().evacuations().mergeAll(response.update.evacuations, response.evacuationsRevision);
+    m_engine.targets().evacuations().mergeAll(response.update.evacuations, response.evacuationsRevision, now);
     if (areTargetsUsable(response)) {
         apply(response.update, now);
         // A peer of an older version does not state up to which revision it knows routes and evacuations.
         m_needsCompleteRead = m_routesRevision == 0 || evacuationsRevision() == 0;
         m_needsCompleteFetch = false;
         m_engine.targets().markRemovalsUnknownUpTo(response.removalsKnownSince);
-    } else if (progress().routesVersion == before.routesVersion
+    } else if (progress().routesOrder == before.routesOrder
         && progress().evacuationChanges == before.evacuationChanges) {
         return {};
     }
--- a/lib/Node/evacuationwatch.cpp
+++ b/lib/Node/evacuationwatch.cpp
@@ -30,7 +30,7 @@
         LogEvent(record.isActive ? Severity::Warning : Severity::Info,
             record.isActive ? "evacuation-begun" : "evacuation-ended")
             .with("data_centre", record.dataCentre)
-            .with("revision", record.revision)
+            .with("revision", describeRevision(record.revision))
             .with("targets", listedTargetsIn(targets, record.dataCentre));
         if (record.isActive) {
             m_evacuated.insert(record.dataCentre);
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -96,12 +96,13 @@
         LogEvent(Severity::Warning, "store-answer-too-large")
             .with("store", format(m_settings.store))
             .with("read", answer.update.isComplete ? "complete" : "changes")
-            .with("revision", m_fleet.revision())
+            .with("revision", describeRevision(m_fleet.revision()))
             .with("reason", answer.reason);
     }
+    const bool isOfEarlierEra = answer.era && *answer.era < m_fleet.storeEra();
     const bool isUnreadable = answer.outcome == StoreOutcome::TooLarge && answer.update.isComplete;
-    const bool isFailing
-        = isUnreadable || answer.outcome == StoreOutcome::Refused || answer.outcome == StoreOutcome::Failed;
+    const bool isFailing = isUnreadable || isOfEarlierEra || answer.outcome == StoreOutcome::Refused
+        || answer.outcome == StoreOutcome::Failed;
     m_storeCounters.failures += isFailing ? 1 : 0;
     if (isFailing == m_isStoreFailing) {
         return;
@@ -111,7 +112,7 @@
         isFailing ? Severity::Warning : Severity::Info, isFailing ? "store-lost" : "store-regained");
     event.with("store", format(m_settings.store)).with("outcome", storeOutcomeName(answer.outcome));
     if (isFailing) {
-        event.with("reason", answer.reason);
+        event.with("reason", isOfEarlierEra ? "the answer is of an earlier era" : answer.reason);
     }
 }
 
@@ -144,15 +145,21 @@
         LogEvent(Severity::Info, "routes-in-force")
             .with("version", routes.version)
             .with("routes", routes.routes.size())
-            .with("revision", m_fleet.revision())
+            .with("revision", describeRevision(m_fleet.revision()))
             .with("targets", m_engine.targets().listedCount())
             .with("age_ms", directoryAgeText(now));
     }
     m_evacuationWatch.logTransitions(m_engine.targets());
+    if (m_fleet.storeEra() != m_loggedEra) {
+        m_loggedEra = m_fleet.storeEra();
+        LogEvent(Severity::Warning, "store-era")
+            .with("era", m_loggedEra)
+            .with("revision", describeRevision(m_fleet.revision()));
+    }
     if (m_fleet.isReading() != m_wasReading) {
         m_wasReading = m_fleet.isReading();
         LogEvent(Severity::Info, m_wasReading ? "reading-begun" : "reading-ended")
-            .with("revision", m_fleet.revision())
+            .with("revision", describeRevision(m_fleet.revision()))
             .with("members", m_fleet.members().members().size());
     }
 }
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -89,9 +89,11 @@
     page.gauge("routes_version", "The version of the routes in force.",
         static_cast<double>(control.engine().routes().configuration().version));
     page.gauge("store_revision", "The revision of the store up to which targets are known.",
-        static_cast<double>(fleet.revision()));
+        static_cast<double>(numberOf(fleet.revision())));
     page.gauge("routes_revision", "The revision of the store up to which routes are known.",
-        static_cast<double>(fleet.routesRevision()));
+        static_cast<double>(numberOf(fleet.routesRevision())));
+    page.gauge("store_era", "How often the store has been restored from a copy, as far as is known.",
+        static_cast<double>(fleet.storeEra()));
     TargetDirectory &targets = control.engine().targets();
     page.gauge("unassigned_entries", "Published entries of services that the configuration does not name.",
         static_cast<double>(targets.unassignedCount()));
@@ -111,7 +113,7 @@
 static void addEvacuations(PageBuilder &page, SteeringControl &control)
 {
     page.gauge("evacuations_revision", "The revision of the store up to which evacuations are known.",
-        static_cast<double>(control.fleet().evacuationsRevision()));
+        static_cast<double>(numberOf(control.fleet().evacuationsRevision())));
     prometheus::MetricFamily &evacuations = page.family("data_centre_evacuated",
         "Whether the targets of a data centre get no new flows.", prometheus::MetricType::Gauge);
     for (const EvacuationRecord &record : control.engine().targets().evacuations().records()) {
--- a/lib/Peer/fleetcodec.cpp
+++ b/lib/Peer/fleetcodec.cpp
@@ -111,6 +111,7 @@
 static void toWire(const RouteConfiguration &configuration, wire::WireRoutes &wire)
 {
     wire.set_version(configuration.version);
+    wire.set_era(configuration.era);
     wire.set_idle_timeout_ms(milliseconds(configuration.idleTimeout));
     wire.mutable_health_paths()->insert(configuration.healthPaths.begin(), configuration.healthPaths.end());
     for (const Route &route : configuration.routes) {
@@ -133,6 +134,7 @@
 {
     RouteConfiguration configuration;
     configuration.version = wire.version();
+    configuration.era = wire.era();
     configuration.idleTimeout = std::chrono::milliseconds(wire.idle_timeout_ms());
     configuration.healthPaths.insert(wire.health_paths().begin(), wire.health_paths().end());
     for (const wire::WireRoute &body : wire.routes()) {
@@ -166,6 +168,7 @@
     standing.set_age_us(microseconds(news.status.age));
     standing.set_reading(news.status.isReading);
     standing.set_routes_revision(news.status.routesRevision);
+    standing.set_routes_era(news.status.routesEra);
     standing.set_evacuations_revision(news.status.evacuationsRevision);
     for (const EvacuationRecord &record : news.status.evacuations) {
         toWire(record, *standing.add_evacuations());
@@ -218,7 +221,7 @@
     const wire::WireStanding &standing = wire.standing();
     news.status = {standing.loaded(), standing.revision(), standing.routes_version(),
         duration(standing.age_us()), standing.reading(), standing.routes_revision(),
-        standing.evacuations_revision(), evacuationsFrom(standing.evacuations())};
+        standing.evacuations_revision(), evacuationsFrom(standing.evacuations()), standing.routes_era()};
     news.changes = {wire.changes().after(), wire.changes().revision(), wire.changes().complete_at(),
         targetsFrom(wire.changes().targets()), removalsFrom(wire.changes().removals())};
     for (const wire::WireLoss &loss : wire.losses()) {
--- a/lib/Steering/evacuationtable.cpp
+++ b/lib/Steering/evacuationtable.cpp
@@ -43,37 +43,73 @@
     }
 }
 
-void EvacuationTable::applyChanges(const std::vector<EvacuationRecord> &changes, std::uint64_t revision)
+void EvacuationTable::applyChanges(
+    const std::vector<EvacuationRecord> &changes, StoreRevision revision, TimePoint now)
 {
     for (const EvacuationRecord &record : changes) {
         put(record);
     }
-    finishUpdate(revision);
+    finishUpdate(revision, now);
 }
 
-void EvacuationTable::mergeAll(const std::vector<EvacuationRecord> &records, std::uint64_t revision)
+/// Returns whether an entry that is not in the table has ended, and its end was forgotten: the table is
+/// complete up to its revision. Entries of earlier eras may still be unknown here during their grace period.
+bool EvacuationTable::isForgotten(const EvacuationRecord &record) const
+{
+    const bool isInGrace = m_isGracePending && eraOf(record.revision) < eraOf(m_revision);
+    return record.revision <= m_revision && !isInGrace && !m_records.contains(record.dataCentre);
+}
+
+void EvacuationTable::mergeAll(
+    const std::vector<EvacuationRecord> &records, StoreRevision revision, TimePoint now)
 {
     std::set<std::string> listed;
     for (const EvacuationRecord &record : records) {
         listed.insert(record.dataCentre);
-        // An entry up to the known revision that is not known here has ended, and its end was forgotten.
-        const bool isForgotten = record.revision <= m_revision && !m_records.contains(record.dataCentre);
-        if (!isForgotten) {
+        if (!isForgotten(record)) {
             put(record);
         }
     }
     for (auto &[dataCentre, known] : m_records) {
-        if (known.isActive && known.revision <= revision && !listed.contains(dataCentre)) {
+        const bool isSameEra = eraOf(known.revision) == eraOf(revision);
+        const bool isMissing = known.revision <= revision && isSameEra && !listed.contains(dataCentre);
+        if (known.isActive && isMissing) {
             put({dataCentre, revision, false});
         }
     }
-    finishUpdate(revision);
+    finishUpdate(revision, now);
+}
+
+void EvacuationTable::expire(Duration grace, TimePoint now)
+{
+    if (!m_isGracePending || now - m_eraSince < grace) {
+        return;
+    }
+    m_isGracePending = false;
+    // The same revision at all instances, lower than any entry of the era.
+    const StoreRevision end = storeRevision(eraOf(m_revision), 0);
+    for (auto &[dataCentre, known] : m_records) {
+        if (known.isActive && known.revision < end) {
+            put({dataCentre, end, false});
+        }
+    }
+    refresh();
 }
 
-/// Raises the known revision, bounds the table and lists the evacuated data centres anew.
-void EvacuationTable::finishUpdate(std::uint64_t revision)
+/// Raises the known revision.
+void EvacuationTable::finishUpdate(StoreRevision revision, TimePoint now)
 {
+    if (eraOf(revision) > eraOf(m_revision)) {
+        m_eraSince = now;
+        m_isGracePending = true;
+    }
     m_revision = std::max(m_revision, revision);
+    refresh();
+}
+
+/// Bounds the table and lists the evacuated data centres anew.
+void EvacuationTable::refresh()
+{
     std::size_t bytes = 0;
     for (const auto &[dataCentre, record] : m_records) {
         bytes += EntryOverhead + dataCentre.size();
--- a/lib/Steering/routetable.cpp
+++ b/lib/Steering/routetable.cpp
@@ -10,7 +10,7 @@
 
 bool RouteTable::replaceAll(RouteConfiguration configuration)
 {
-    if (configuration.version <= m_configuration.version) {
+    if (configuration.order() <= m_configuration.order()) {
         return false;
     }
     m_configuration = std::move(configuration);
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -91,9 +91,13 @@
 
 void TargetDirectory::put(const TargetRecord &record, TimePoint now)
 {
-    if (isOutdated(record)) {
-        return;
+    if (!isOutdated(record) && !isHeld(record, now)) {
+        apply(record, now);
     }
+}
+
+void TargetDirectory::apply(const TargetRecord &record, TimePoint now)
+{
     const std::uint64_t key = record.identity.key();
     const bool isNamed = m_services.contains(record.service);
     if (isConflicting(record, isNamed)) {
@@ -182,6 +186,10 @@
     }
     std::uint64_t &removal = m_removals[name];
     removal = std::max(removal, revision);
+    if (const auto held = m_held.find(name);
+        held != m_held.end() && held->second.record.revision <= revision) {
+        m_held.erase(held);
+    }
     if (target != nullptr && target->record.revision <= revision) {
         lapse(*target, now);
     }
@@ -195,6 +203,7 @@
         names.insert(record.name);
         put(record, now);
     }
+    dropHeldRecords(names, revision);
     std::vector<std::string> missing;
     for (const auto &[key, target] : m_targets) {
         const bool isMissing = target.presence == TargetPresence::Listed
@@ -231,6 +240,8 @@
 
 void TargetDirectory::expire(TimePoint now, const std::function<void(std::uint64_t)> &forget)
 {
+    m_evacuations.expire(m_timing.lapseGrace, now);
+    applyHeldRecords(now);
     for (auto position = m_watched.begin(); position != m_watched.end();) {
         const std::uint64_t key = *position;
         const auto found = m_targets.find(key);
--- a/test/standins/fakestore.cpp
+++ b/test/standins/fakestore.cpp
@@ -64,29 +64,42 @@
 
 void FakeStore::put(const std::string &key, const std::string &value)
 {
-    m_items[key] = {value, ++m_revision};
-    m_history.push_back({m_revision, key});
+    m_data.items[key] = {value, ++m_data.revision};
+    m_data.history.push_back({m_data.revision, key});
     m_changed.cancel();
 }
 
 void FakeStore::remove(const std::string &key)
 {
-    m_items.erase(key);
-    m_history.push_back({++m_revision, key});
+    m_data.items.erase(key);
+    m_data.history.push_back({++m_data.revision, key});
     m_changed.cancel();
 }
 
 void FakeStore::forgetHistory()
 {
-    m_historyFloor = m_revision;
-    m_history.clear();
+    m_data.historyFloor = m_data.revision;
+    m_data.history.clear();
+    m_changed.cancel();
+}
+
+void FakeStore::makeCopy()
+{
+    m_copy = m_data;
+}
+
+void FakeStore::restoreCopy()
+{
+    m_data = m_copy;
+    ++era;
+    keepForStaleReads();
     m_changed.cancel();
 }
 
 void FakeStore::keepForStaleReads()
 {
-    m_staleItems = m_items;
-    m_staleRevision = m_revision;
+    m_staleItems = m_data.items;
+    m_staleRevision = m_data.revision;
 }
 
 json::object FakeStore::itemOf(const std::string &key, const Item &item)
@@ -97,31 +110,31 @@
 
 std::string FakeStore::range(const std::string &after, bool isStale) const
 {
-    const std::map<std::string, Item> &items = isStale ? m_staleItems : m_items;
+    const std::map<std::string, Item> &items = isStale ? m_staleItems : m_data.items;
     json::array page;
     auto position = after.empty() ? items.begin() : items.upper_bound(after);
     for (; position != items.end() && page.size() < pageSize; ++position) {
         page.push_back(itemOf(position->first, position->second));
     }
     return json::serialize(json::object{{"items", page}, {"hasMore", position != items.end()},
-        {"asOf", isStale ? m_staleRevision : m_revision}});
+        {"asOf", isStale ? m_staleRevision : m_data.revision}});
 }
 
 std::string FakeStore::changes(std::uint64_t after) const
 {
     json::array events;
-    for (const Change &change : m_history) {
+    for (const Change &change : m_data.history) {
         if (change.revision <= after) {
             continue;
         }
-        const auto item = m_items.find(change.key);
-        if (item == m_items.end()) {
+        const auto item = m_data.items.find(change.key);
+        if (item == m_data.items.end()) {
             events.push_back(json::object{{"key", change.key}, {"rev", change.revision}, {"deleted", true}});
         } else if (item->second.revision == change.revision) {
             events.push_back(itemOf(item->first, item->second));
         }
     }
-    return json::serialize(json::object{{"events", events}, {"asOf", m_revision}});
+    return json::serialize(json::object{{"events", events}, {"asOf", m_data.revision}});
 }
 
 asio::awaitable<std::pair<unsigned, std::string>> FakeStore::answer(std::string target)
@@ -136,11 +149,11 @@
     const std::uint64_t after = std::stoull(parameter(target, "after"));
     const auto deadline = std::chrono::steady_clock::now()
         + std::chrono::milliseconds(std::stoi(parameter(target, "waitMs")));
-    while (after >= m_revision && std::chrono::steady_clock::now() < deadline) {
+    while (after == m_data.revision && std::chrono::steady_clock::now() < deadline) {
         m_changed.expires_at(deadline);
         co_await m_changed.async_wait(Awaited);
     }
-    if (after < m_historyFloor) {
+    if (after < m_data.historyFloor || after > m_data.revision) {
         co_return std::pair(410U, std::string("{}"));
     }
     co_return std::pair(200U, changes(after));
@@ -187,8 +200,15 @@
     case StoreMood::Garbled:
         break;
     }
+    const std::uint32_t eraOfAnswer = era;
+    if (onPage && request.target().starts_with("/v1/kv-range?")) {
+        onPage();
+    }
     http::response<http::string_body> response(static_cast<http::status>(reply.first), 11);
     response.body() = reply.second;
+    if (eraOfAnswer > 0) {
+        response.set(eraHeader, std::to_string(eraOfAnswer));
+    }
     response.prepare_payload();
     co_await http::async_write(stream, response, Awaited);
 }
--- a/test/standins/fakestore.h
+++ b/test/standins/fakestore.h
@@ -10,6 +10,7 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -45,11 +46,21 @@
     /// Forgets the changes up to now.
     void forgetHistory();
 
+    /// Makes a copy of all items, to which restoreCopy() goes back.
+    void makeCopy();
+
+    /// Goes back to the copy: what was written since is gone, and revisions are issued again. A new era
+    /// begins.
+    void restoreCopy();
+
     /// Makes stale reads answer with the items as they are now.
     void keepForStaleReads();
 
     StoreMood mood = StoreMood::Well;
     std::size_t pageSize = 3;
+    std::uint32_t era = 0; ///< Named by the header Store-Era of each answer, unless it is 0.
+    std::string eraHeader = "Store-Era"; ///< The name of the header as it is sent.
+    std::function<void()> onPage; ///< Called after each page of a complete read has been made.
     std::vector<std::string> requests; ///< The targets of all requests.
 
 private:
@@ -63,6 +74,14 @@
         std::string key;
     };
 
+    /// What a copy holds.
+    struct Data {
+        std::map<std::string, Item> items;
+        std::vector<Change> history;
+        std::uint64_t revision = 10;
+        std::uint64_t historyFloor = 0;
+    };
+
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<std::pair<unsigned, std::string>> answer(std::string target);
@@ -73,12 +92,10 @@
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_changed;
-    std::map<std::string, Item> m_items;
+    Data m_data;
+    Data m_copy;
     std::map<std::string, Item> m_staleItems;
     std::uint64_t m_staleRevision = 0;
-    std::vector<Change> m_history;
-    std::uint64_t m_revision = 10;
-    std::uint64_t m_historyFloor = 0;
 };
 
 } // namespace jasminequay::platform
--- a/tools/jasminequay/explainsteering.cpp
+++ b/tools/jasminequay/explainsteering.cpp
@@ -101,8 +101,9 @@
     for (const TargetRecord &record : known.update.tombstones) {
         engine.targets().addTombstone(record, Now);
     }
+    engine.targets().evacuations().mergeAll(known.update.evacuations, known.evacuationsRevision, Now);
     std::cout << source << ": routes version " << engine.routes().configuration().version << ", revision "
-              << known.update.revision << " of the store, proved "
+              << describeRevision(known.update.revision) << " of the store, proved "
               << std::chrono::duration_cast<std::chrono::milliseconds>(known.age).count() << " ms before\n";
     if (token != NoToken) {
         printToken(engine, token);
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -63,6 +63,7 @@
     member.read.reset();
     member.fetch.reset();
     member.newestVersion = 0;
+    member.newestEra = 0;
     member.loadedAt = TimePoint{};
 }
 
@@ -100,6 +101,15 @@
     }
 }
 
+void FakeCluster::readEarlierStore(std::size_t number, bool isEarlier)
+{
+    if (isEarlier) {
+        m_readersOfEarlierStore.insert(number);
+    } else {
+        m_readersOfEarlierStore.erase(number);
+    }
+}
+
 bool FakeCluster::isStoreCut(std::size_t number) const
 {
     return store.faults.isDown || m_storeCuts.contains(number);
@@ -200,8 +210,11 @@
 {
     FakeMember &member = members[number];
     const std::uint64_t version = member.engine->routes().configuration().version;
-    versionRegressions += version < member.newestVersion ? 1 : 0;
-    if (version > member.newestVersion) {
+    const std::uint32_t era = member.engine->routes().configuration().era;
+    const std::pair newest(member.newestEra, member.newestVersion);
+    versionRegressions += std::pair(era, version) < newest ? 1 : 0;
+    if (std::pair(era, version) > newest) {
+        member.newestEra = era;
         member.newestVersion = version;
         member.versionSince = now;
     }
@@ -235,6 +248,8 @@
         member.read = FakeMember::Read{request, now, store.faults.areWatchesSilent && !request.isComplete};
     }
     const FakeMember::Read &read = *member.read;
+    const bool readsEarlier = m_readersOfEarlierStore.contains(number);
+    const FakeDirectory &directory = readsEarlier ? *earlierStore : store;
     const Duration waited = now - read.startedAt;
     const bool isRefused = store.faults.refusesAll || store.faults.refused.contains(number);
     if (isRefused && waited >= store.faults.answerTime) {
@@ -253,10 +268,10 @@
         return;
     }
     if (read.request.isComplete) {
-        answer(number, store.readAll(read.request.mayBeStale));
+        answer(number, directory.readAll(read.request.mayBeStale));
         return;
     }
-    const StoreAnswer changes = store.changesAfter(read.request.after);
+    const StoreAnswer changes = directory.changesAfter(read.request.after);
     const bool hasNews
         = changes.outcome != StoreOutcome::Answered || changes.update.revision > read.request.after;
     if (hasNews || waited >= read.request.wait) {
--- a/unittests/Fleet/fakecluster.h
+++ b/unittests/Fleet/fakecluster.h
@@ -32,6 +32,7 @@
     bool isFrozen = false;
     std::uint64_t incarnation = 0;
     std::uint64_t newestVersion = 0; ///< The newest routes version since the instance started.
+    std::uint32_t newestEra = 0; ///< The era of `newestVersion`.
     TimePoint versionSince; ///< When `newestVersion` was first seen.
     TimePoint loadedAt;
     TimePoint sweptAt;
@@ -106,7 +107,11 @@
         return members[number].control && !members[number].isFrozen;
     }
 
+    /// Makes an instance read a store that has not been restored yet, or the present one again.
+    void readEarlierStore(std::size_t number, bool isEarlier = true);
+
     FakeDirectory store;
+    std::optional<FakeDirectory> earlierStore; ///< For readEarlierStore().
     std::vector<FakeMember> members;
     TimePoint now = TimePoint(std::chrono::hours(1));
     std::uint64_t messages = 0;
@@ -114,7 +119,7 @@
     std::uint64_t fetchedTargets = 0; ///< Entries in responses to fetches.
     std::uint64_t refetchedTargets
         = 0; ///< Of these, entries sent to instances that had loaded the directory.
-    std::uint64_t versionRegressions = 0; ///< Decreases of the routes version between starts of an instance.
+    std::uint64_t versionRegressions = 0; ///< Decreases of the routes version within an era.
 
 private:
     struct Message {
@@ -140,6 +145,7 @@
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::size_t> m_storeCuts;
     std::set<std::size_t> m_olderMembers;
+    std::set<std::size_t> m_readersOfEarlierStore;
 };
 
 /// The settings bound of a cluster with the default settings.
--- a/unittests/Fleet/fakedirectory.cpp
+++ b/unittests/Fleet/fakedirectory.cpp
@@ -7,46 +7,75 @@
 
 std::uint64_t FakeDirectory::changeRoutes(const std::vector<std::string> &services)
 {
-    m_routes.version += 3;
-    m_routes.routes.clear();
+    m_data.routes.version += 3;
+    m_data.routes.routes.clear();
     for (const std::string &service : services) {
-        const auto number = static_cast<std::uint32_t>(m_routes.routes.size());
-        m_routes.routes.push_back({service + std::to_string(m_routes.version), {{0xc6120001 + number}, 443},
-            RequestKind::Idempotent, std::chrono::seconds(1), {{service, 1}}});
+        const auto number = static_cast<std::uint32_t>(m_data.routes.routes.size());
+        m_data.routes.routes.push_back({service + std::to_string(m_data.routes.version),
+            {{0xc6120001 + number}, 443}, RequestKind::Idempotent, std::chrono::seconds(1), {{service, 1}}});
     }
-    m_history.push_back({++m_revision, true, {}});
-    return m_routes.version;
+    m_data.history.push_back({++m_data.revision, true, {}});
+    return m_data.routes.version;
 }
 
 void FakeDirectory::put(TargetRecord record)
 {
-    record.revision = ++m_revision;
-    m_history.push_back({m_revision, false, record.name});
-    m_targets[record.name] = std::move(record);
+    record.revision = ++m_data.revision;
+    m_data.history.push_back({m_data.revision, false, record.name});
+    m_data.targets[record.name] = std::move(record);
 }
 
 void FakeDirectory::remove(const std::string &name)
 {
-    m_targets.erase(name);
-    m_history.push_back({++m_revision, false, name});
+    m_data.targets.erase(name);
+    m_data.history.push_back({++m_data.revision, false, name});
 }
 
 void FakeDirectory::evacuate(const std::string &dataCentre)
 {
-    m_evacuations[dataCentre] = {dataCentre, ++m_revision, true};
-    m_history.push_back({m_revision, false, {}, dataCentre});
+    m_data.evacuations[dataCentre] = {dataCentre, ++m_data.revision, true};
+    m_data.history.push_back({m_data.revision, false, {}, dataCentre});
 }
 
 void FakeDirectory::endEvacuation(const std::string &dataCentre)
 {
-    m_evacuations.erase(dataCentre);
-    m_history.push_back({++m_revision, false, {}, dataCentre});
+    m_data.evacuations.erase(dataCentre);
+    m_data.history.push_back({++m_data.revision, false, {}, dataCentre});
+}
+
+void FakeDirectory::makeCopy()
+{
+    m_copy = m_data;
+}
+
+void FakeDirectory::restoreCopy()
+{
+    m_data = m_copy;
+    ++m_era;
+}
+
+/// Puts the era into the revisions of an answer, as the client of the store does.
+void FakeDirectory::addEra(StoreAnswer &answer) const
+{
+    const auto stamp = [this](auto &items) {
+        for (auto &item : items) {
+            item.revision = storeRevision(m_era, item.revision);
+        }
+    };
+    answer.era = m_era;
+    answer.update.revision = storeRevision(m_era, answer.update.revision);
+    stamp(answer.update.targets);
+    stamp(answer.update.removals);
+    stamp(answer.update.evacuations);
+    if (answer.update.routes) {
+        answer.update.routes->era = m_era;
+    }
 }
 
 void FakeDirectory::forgetHistory()
 {
-    m_historyFloor = m_revision;
-    m_history.clear();
+    m_data.historyFloor = m_data.revision;
+    m_data.history.clear();
 }
 
 void FakeDirectory::setStaleAnswer()
@@ -70,53 +99,58 @@
     answer.outcome = StoreOutcome::Answered;
     answer.calls = 1;
     answer.isStale = mayBeStale;
-    answer.update.revision = m_revision;
+    answer.update.revision = m_data.revision;
     answer.update.isComplete = true;
-    if (m_routes.version > 0) {
-        answer.update.routes = m_routes;
+    if (m_data.routes.version > 0) {
+        answer.update.routes = m_data.routes;
     }
-    for (const auto &[name, record] : m_targets) {
+    for (const auto &[name, record] : m_data.targets) {
         answer.update.targets.push_back(record);
     }
-    for (const auto &[dataCentre, record] : m_evacuations) {
+    for (const auto &[dataCentre, record] : m_data.evacuations) {
         answer.update.evacuations.push_back(record);
     }
+    addEra(answer);
     return answer;
 }
 
-StoreAnswer FakeDirectory::changesAfter(std::uint64_t revision) const
+StoreAnswer FakeDirectory::changesAfter(StoreRevision after) const
 {
     StoreAnswer answer;
     answer.calls = 1;
-    if (revision < m_historyFloor) {
+    answer.era = m_era;
+    const std::uint64_t revision = numberOf(after);
+    const bool isUnknown = eraOf(after) != m_era || revision > m_data.revision;
+    if (isUnknown || revision < m_data.historyFloor) {
         answer.outcome = StoreOutcome::HistoryLost;
         return answer;
     }
-    const auto versions = std::count_if(m_history.begin(), m_history.end(),
+    const auto versions = std::count_if(m_data.history.begin(), m_data.history.end(),
         [revision](const Change &change) { return change.isRoutes && change.revision > revision; });
     if (static_cast<std::size_t>(versions) > faults.largestAnswer) {
         answer.outcome = StoreOutcome::TooLarge;
         return answer;
     }
     answer.outcome = StoreOutcome::Answered;
-    answer.update.revision = m_revision;
-    for (const Change &change : m_history) {
+    answer.update.revision = m_data.revision;
+    for (const Change &change : m_data.history) {
         if (change.revision <= revision) {
             continue;
         }
         if (change.isRoutes) {
-            answer.update.routes = m_routes;
+            answer.update.routes = m_data.routes;
         } else if (!change.evacuated.empty()) {
-            const auto entry = m_evacuations.find(change.evacuated);
-            const bool isPresent = entry != m_evacuations.end();
+            const auto entry = m_data.evacuations.find(change.evacuated);
+            const bool isPresent = entry != m_data.evacuations.end();
             answer.update.evacuations.push_back(
                 isPresent ? entry->second : EvacuationRecord{change.evacuated, change.revision, false});
-        } else if (const auto target = m_targets.find(change.target); target != m_targets.end()) {
+        } else if (const auto target = m_data.targets.find(change.target); target != m_data.targets.end()) {
             answer.update.targets.push_back(target->second);
         } else {
             answer.update.removals.push_back({change.target, change.revision});
         }
     }
+    addEra(answer);
     return answer;
 }
 
--- a/unittests/Fleet/fakedirectory.h
+++ b/unittests/Fleet/fakedirectory.h
@@ -41,6 +41,12 @@
     /// Removes the entry that evacuates a data centre.
     void endEvacuation(const std::string &dataCentre);
 
+    /// Makes a copy, to which restoreCopy() goes back.
+    void makeCopy();
+
+    /// Goes back to the copy. A new era begins, in which revisions are issued again.
+    void restoreCopy();
+
     /// Discards the history of changes, so that readers have to read everything again.
     void forgetHistory();
 
@@ -55,15 +61,15 @@
     void addStaleAnswer();
 
     /// Answers a waiting read with the changes after a revision, if any.
-    [[nodiscard]] StoreAnswer changesAfter(std::uint64_t revision) const;
+    [[nodiscard]] StoreAnswer changesAfter(StoreRevision after) const;
 
-    [[nodiscard]] std::uint64_t revision() const
+    [[nodiscard]] StoreRevision revision() const
     {
-        return m_revision;
+        return storeRevision(m_era, m_data.revision);
     }
     [[nodiscard]] std::uint64_t routesVersion() const
     {
-        return m_routes.version;
+        return m_data.routes.version;
     }
 
     StoreFaults faults;
@@ -77,12 +83,21 @@
         std::string evacuated = {}; ///< A data centre whose evacuation has begun or ended.
     };
 
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_historyFloor = 0;
-    RouteConfiguration m_routes;
-    std::map<std::string, TargetRecord> m_targets;
-    std::map<std::string, EvacuationRecord> m_evacuations; ///< Those in force.
-    std::vector<Change> m_history;
+    /// What a copy holds. Revisions are numbers within the era.
+    struct Data {
+        std::uint64_t revision = 0;
+        std::uint64_t historyFloor = 0;
+        RouteConfiguration routes;
+        std::map<std::string, TargetRecord> targets;
+        std::map<std::string, EvacuationRecord> evacuations; ///< Those in force.
+        std::vector<Change> history;
+    };
+
+    void addEra(StoreAnswer &answer) const;
+
+    Data m_data;
+    Data m_copy;
+    std::uint32_t m_era = 0;
     std::vector<StoreAnswer> m_staleAnswers; ///< Returned by stale reads in turn.
     mutable std::size_t m_staleReads = 0;
 };
--- a/unittests/Peer/fleetcodectest.cpp
+++ b/unittests/Peer/fleetcodectest.cpp
@@ -31,7 +31,7 @@
     self.dataCentre = "dc-1";
     news.digest.entries.push_back(self);
     news.digest.wantsReply = true;
-    news.status = {true, 71, 7, std::chrono::milliseconds(250), true, 68, 70, {{"dc-2", 66, true}}};
+    news.status = {true, 71, 7, std::chrono::milliseconds(250), true, 68, 70, {{"dc-2", 66, true}}, 3};
     news.changes = {69, 71, 70, {sampleTarget(1)}, {{"i-9", 70}}};
     news.targetLosses = {{0x1234, TargetVerdict::Unreachable}};
     return news;
@@ -70,6 +70,7 @@
     EXPECT_TRUE(news->status.isReading);
     EXPECT_EQ(news->status.routesRevision, 68U);
     EXPECT_EQ(news->status.evacuationsRevision, 70U);
+    EXPECT_EQ(news->status.routesOrder(), sampleNews().status.routesOrder());
     EXPECT_EQ(news->status.evacuations, sampleNews().status.evacuations);
     EXPECT_EQ(news->status.age, std::chrono::milliseconds(250));
     EXPECT_EQ(news->changes.after, 69U);
@@ -130,8 +131,8 @@
     for (const std::size_t length : {10U, 100U, 200U}) {
         EvacuationTable table;
         for (std::uint32_t number = 0; number < 300; ++number) {
-            table.applyChanges(
-                {{std::to_string(number) + std::string(length, 'z'), number + 1, true}}, number + 1);
+            table.applyChanges({{std::to_string(number) + std::string(length, 'z'), number + 1, true}},
+                number + 1, TimePoint{});
         }
         FleetMessage news = sampleNews();
         news.status.evacuations = table.records();
@@ -157,6 +158,7 @@
     image.update.routes = RouteConfiguration{7, std::chrono::seconds(15),
         {{"r", {{1}, 443}, RequestKind::Download, std::chrono::seconds(5), {{"desk", 90}, {"guides", 10}}}},
         {{"desk", "/healthz"}}};
+    image.update.routes->era = 2;
     for (std::uint32_t number = 0; number < 150; ++number) {
         image.update.targets.push_back(sampleTarget(number));
     }
@@ -174,6 +176,7 @@
     EXPECT_EQ(back->update.routes->routes[0].services[1].weight, 10);
     EXPECT_EQ(back->update.tombstones[0].name, "i-500");
     EXPECT_EQ(back->routesRevision, 98U);
+    EXPECT_EQ(back->update.routes->order(), image.update.routes->order());
     EXPECT_EQ(back->evacuationsRevision, 97U);
     EXPECT_EQ(back->update.evacuations, image.update.evacuations);
     EXPECT_EQ(back->update.routes->healthPaths.at("desk"), "/healthz");
--- a/unittests/Steering/evacuationtest.cpp
+++ b/unittests/Steering/evacuationtest.cpp
@@ -22,7 +22,7 @@
         std::shuffle(changes.begin(), changes.end(), random);
         EvacuationTable table;
         for (const EvacuationRecord &change : changes) {
-            table.mergeAll({change}, 0);
+            table.mergeAll({change}, 0, Start);
         }
         EXPECT_EQ(table.evacuatedDataCentres(), std::vector<std::string>{"dc-1"});
     }
@@ -32,8 +32,8 @@
 TEST(EvacuationTable, ACompleteTableEndsWhatItLacks)
 {
     EvacuationTable table;
-    table.applyChanges({{"dc-1", 5, true}, {"dc-2", 9, true}}, 9);
-    table.mergeAll({}, 7);
+    table.applyChanges({{"dc-1", 5, true}, {"dc-2", 9, true}}, 9, Start);
+    table.mergeAll({}, 7, Start);
     EXPECT_FALSE(table.isEvacuated("dc-1"));
     EXPECT_TRUE(table.isEvacuated("dc-2")) << "its entry is newer than the table that lacks it";
     EXPECT_EQ(table.revision(), 9U);
@@ -43,8 +43,8 @@
 TEST(EvacuationTable, AMissingTableEndsNothing)
 {
     EvacuationTable table;
-    table.applyChanges({{"dc-1", 5, true}}, 5);
-    table.mergeAll({}, 0);
+    table.applyChanges({{"dc-1", 5, true}}, 5, Start);
+    table.mergeAll({}, 0, Start);
     EXPECT_TRUE(table.isEvacuated("dc-1"));
 }
 
@@ -53,13 +53,13 @@
 TEST(EvacuationTable, ItsSizeIsBoundedAndForgottenEndsStand)
 {
     EvacuationTable table;
-    table.applyChanges({{"dc-1", 1, true}, {"dc-2", 2, true}, {"dc-2", 3, false}}, 3);
+    table.applyChanges({{"dc-1", 1, true}, {"dc-2", 2, true}, {"dc-2", 3, false}}, 3, Start);
     for (std::uint64_t revision = 4; revision < 400; revision += 2) {
         const std::string name = "zone-" + std::to_string(revision);
-        table.applyChanges({{name, revision, true}, {name, revision + 1, false}}, revision + 1);
+        table.applyChanges({{name, revision, true}, {name, revision + 1, false}}, revision + 1, Start);
     }
     EXPECT_LT(table.records().size(), 100U);
-    table.mergeAll({{"dc-1", 1, true}, {"dc-2", 2, true}}, 2);
+    table.mergeAll({{"dc-1", 1, true}, {"dc-2", 2, true}}, 2, Start);
     EXPECT_EQ(table.evacuatedDataCentres(), std::vector<std::string>{"dc-1"});
 }
 
@@ -80,7 +80,8 @@
     void evacuate(const std::string &dataCentre, bool isActive = true)
     {
         ++revision;
-        instance.engine.targets().evacuations().applyChanges({{dataCentre, revision, isActive}}, revision);
+        instance.engine.targets().evacuations().applyChanges(
+            {{dataCentre, revision, isActive}}, revision, instance.now);
     }
 
     [[nodiscard]] std::string dataCentreOf(const SteeringDecision &decision)
--- a/unittests/UsersPlatform/storeclienttest.cpp
+++ b/unittests/UsersPlatform/storeclienttest.cpp
@@ -3,6 +3,8 @@
 
 #include "platform/storeclient.h"
 
+#include "jasminequay/Steering/storerevision.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <gtest/gtest.h>
 
@@ -169,6 +171,82 @@
     EXPECT_EQ(complete(client.watch(revision, seconds(1), AmpleTimeout)).outcome, StoreOutcome::HistoryLost);
 }
 
+/// Guards against revisions of two eras that are taken for those of one.
+TEST_F(StoreClientTest, RevisionsHoldTheEraThatTheStoreNames)
+{
+    EXPECT_EQ(complete(client.readAll(false, AmpleTimeout)).update.revision, 17U);
+    store.era = 3;
+    for (const char *const name : {"Store-Era", "store-era", "STORE-ERA"}) {
+        store.eraHeader = name;
+        const StoreAnswer all = complete(client.readAll(false, AmpleTimeout));
+        ASSERT_EQ(all.outcome, StoreOutcome::Answered) << all.reason;
+        EXPECT_EQ(all.era, 3U);
+        EXPECT_EQ(all.update.revision, storeRevision(3, 17));
+        EXPECT_EQ(all.update.targets.front().revision, storeRevision(3, 12));
+        EXPECT_EQ(all.update.routes->era, 3U);
+    }
+    putTarget(2, "draining");
+    const StoreAnswer changes = complete(client.watch(storeRevision(3, 17), seconds(1), AmpleTimeout));
+    EXPECT_NE(store.requests.back().find("&after=17&"), std::string::npos) << store.requests.back();
+    EXPECT_EQ(changes.update.targets.at(0).revision, storeRevision(3, 18));
+}
+
+/// Guards against applying changes after a number of an earlier era: the numbers were issued again.
+TEST_F(StoreClientTest, AWatchContinuesOnlyInItsEra)
+{
+    store.makeCopy();
+    putTarget(6, "ready");
+    store.restoreCopy();
+    EXPECT_EQ(complete(client.watch(18, seconds(1), AmpleTimeout)).outcome, StoreOutcome::HistoryLost);
+    putTarget(7, "ready");
+    putTarget(8, "ready");
+    const StoreAnswer changes = complete(client.watch(18, seconds(1), AmpleTimeout));
+    EXPECT_EQ(changes.outcome, StoreOutcome::HistoryLost);
+    EXPECT_EQ(changes.era, 1U);
+    EXPECT_TRUE(changes.update.targets.empty());
+}
+
+/// Guards against a watch that goes on waiting, or gets an answer of the earlier era, when the store goes
+/// back to a copy meanwhile.
+TEST_F(StoreClientTest, AWaitingWatchEndsWithTheEra)
+{
+    store.makeCopy();
+    putTarget(6, "ready");
+    asio::steady_timer later(context, milliseconds(20));
+    later.async_wait([&](const boost::system::error_code &) { store.restoreCopy(); });
+    const StoreAnswer answer = complete(client.watch(18, seconds(20), AmpleTimeout));
+    EXPECT_EQ(answer.outcome, StoreOutcome::HistoryLost);
+    EXPECT_EQ(answer.era, 1U);
+}
+
+/// Guards against a complete read that mixes pages of two eras.
+TEST_F(StoreClientTest, ACompleteReadStartsAgainInANewEra)
+{
+    store.makeCopy();
+    putTarget(6, "ready");
+    store.onPage = [&]() {
+        store.onPage = {};
+        store.restoreCopy();
+    };
+    const StoreAnswer all = complete(client.readAll(false, AmpleTimeout));
+    ASSERT_EQ(all.outcome, StoreOutcome::Answered) << all.reason;
+    EXPECT_EQ(all.update.revision, storeRevision(1, 17));
+    EXPECT_EQ(all.update.targets.size(), 5U);
+    store.onPage = [&]() {
+        store.restoreCopy();
+    };
+    EXPECT_EQ(complete(client.readAll(false, AmpleTimeout)).outcome, StoreOutcome::Failed);
+}
+
+TEST_F(StoreClientTest, ARefusalNamesTheEraToo)
+{
+    store.era = 2;
+    store.mood = StoreMood::TurnsAway;
+    const StoreAnswer refused = complete(client.readAll(false, AmpleTimeout));
+    EXPECT_EQ(refused.outcome, StoreOutcome::Refused);
+    EXPECT_EQ(refused.era, 2U);
+}
+
 TEST_F(StoreClientTest, RefusalsAndFailuresAreDistinguished)
 {
     const std::vector<std::pair<StoreMood, StoreOutcome>> moods{{StoreMood::TurnsAway, StoreOutcome::Refused},
