Soak: evacuations and a store that goes back to a copy

Guards against new flows to an evacuated target, and against a client that takes the numbers of a new era for those of the earlier one, with real processes.

The faults of a seed stay as they were, as the drills are drawn apart.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -31,6 +31,7 @@
 scripts/run-fault-demo.sh
 scripts/run-soak.sh --regressions --jobs 2
 scripts/run-soak.sh --seed 1 --seeds 4 --jobs 2
+scripts/run-soak.sh --seed 1 --seeds 2 --jobs 2 --drills
 if [ "${SANITIZERS:-0}" = 1 ]; then
     scripts/setup.sh build-asan -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DJASMINEQUAY_SANITIZER=address,undefined \
         -DJASMINEQUAY_BUILD_BENCHMARKS=OFF
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -43,6 +43,7 @@
         cxxopts::value<std::string>())("seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "instances", "", cxxopts::value<std::size_t>()->default_value("6"))("seconds", "",
         cxxopts::value<unsigned>()->default_value("30"))("plan", "print the faults, play nothing")(
+        "drills", "evacuate data centres and restore the store from a copy")(
         "flows", "new flows a second", cxxopts::value<double>()->default_value("60"));
     try {
         const cxxopts::ParseResult given = options.parse(argc, argv);
@@ -53,6 +54,7 @@
         run.instances = given["instances"].as<std::size_t>();
         run.duration = std::chrono::seconds(given["seconds"].as<unsigned>());
         run.flowsPerSecond = given["flows"].as<double>();
+        run.hasDrills = given.count("drills") > 0;
         if (given.count("plan") > 0) {
             SoakRun::printPlan(run);
             return 0;
--- a/test/soak/promises.h
+++ b/test/soak/promises.h
@@ -39,6 +39,13 @@
     bool isAlive = true;
     TimePoint disturbedUntil; ///< Ends of what was done to it or its links.
     TimePoint drainingAt; ///< When the store took that it leaves; the start of time if it does not.
+    std::string dataCentre = {};
+};
+
+/// An evacuation of a data centre.
+struct PublishedEvacuation {
+    TimePoint begunAt; ///< When the store took it.
+    TimePoint endedAt; ///< When it was lifted; the start of time while it is in force.
 };
 
 /// What was done to an instance, and what it has shown.
@@ -72,6 +79,7 @@
 
     std::map<Endpoint, PublishedRoute> routes;
     std::vector<InstanceState> instances;
+    std::map<std::string, PublishedEvacuation> evacuations; ///< By data centre.
     TimePoint coreDisturbedUntil; ///< Of the store.
     std::map<std::string, TimePoint> targetsDisturbedUntil; ///< By service.
 
@@ -103,6 +111,9 @@
     /// Something else that must not happen.
     void breach(TimePoint now, const std::string &rule, const std::string &what);
 
+    /// Returns whether an evacuation may leave a service without a target.
+    [[nodiscard]] bool isAnyEvacuated(TimePoint now) const;
+
     [[nodiscard]] bool isInTouch(std::size_t instance, TimePoint at) const;
     [[nodiscard]] const std::vector<Breach> &breaches() const
     {
--- a/test/soak/publication.cpp
+++ b/test/soak/publication.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration Settled = std::chrono::milliseconds(3500);
 constexpr std::uint16_t RoutePort = 443;
+constexpr const char *EvacuationPrefix = "op/evacuate/";
 
 Publication::Publication(platform::FakeStore &store, Promises &promises)
     : m_store(store)
@@ -80,6 +81,11 @@
     m_store.put("servers/i-" + std::to_string(9000 + choice % 5), garbage[choice % garbage.size()]);
 }
 
+void Publication::putUnrelated()
+{
+    m_store.put("zz/other", "x");
+}
+
 void Publication::putForeignEntry(Endpoint address, std::uint64_t choice)
 {
     m_store.put("servers/x-" + std::to_string(9000 + choice % 5),
@@ -88,6 +94,41 @@
             {"seq", 1}, {"born", choice % 1000}}));
 }
 
+void Publication::evacuate(const std::string &dataCentre)
+{
+    m_evacuated.insert(dataCentre);
+    m_store.put(EvacuationPrefix + dataCentre, "{}");
+}
+
+void Publication::endEvacuation(const std::string &dataCentre)
+{
+    m_evacuated.erase(dataCentre);
+    m_store.remove(EvacuationPrefix + dataCentre);
+}
+
+void Publication::writeAgain(const std::vector<RunningTarget> &targets)
+{
+    std::set<std::string> wanted;
+    publish();
+    for (const RunningTarget &running : targets) {
+        if (running.target) {
+            wanted.insert("servers/" + running.target->name());
+            putTarget(running);
+        }
+    }
+    for (const std::string &dataCentre : m_evacuated) {
+        wanted.insert(EvacuationPrefix + dataCentre);
+        evacuate(dataCentre);
+    }
+    for (const char *const prefix : {"servers/i-", EvacuationPrefix}) {
+        for (const std::string &key : m_store.keys(prefix)) {
+            if (!wanted.contains(key)) {
+                m_store.remove(key);
+            }
+        }
+    }
+}
+
 std::vector<Endpoint> Publication::settledRoutes(TimePoint now) const
 {
     std::vector<Endpoint> settled;
--- a/test/soak/publication.h
+++ b/test/soak/publication.h
@@ -7,6 +7,7 @@
 #include "fakestore.h"
 
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,9 +45,21 @@
     /// Writes an entry that names no target.
     void putGarbage(std::uint64_t choice);
 
+    /// Writes an entry of another program.
+    void putUnrelated();
+
     /// Writes a well-formed entry of a service that no route names, with the address of a target.
     void putForeignEntry(Endpoint address, std::uint64_t choice);
 
+    /// Writes the entry that evacuates a data centre.
+    void evacuate(const std::string &dataCentre);
+
+    /// Removes the entry that evacuates a data centre.
+    void endEvacuation(const std::string &dataCentre);
+
+    /// Writes everything again after the store has gone back to a copy, and removes what should be gone.
+    void writeAgain(const std::vector<RunningTarget> &targets);
+
     /// Returns the published routes that everybody must know by now.
     [[nodiscard]] std::vector<Endpoint> settledRoutes(TimePoint now) const;
 
@@ -55,6 +68,7 @@
 
     platform::FakeStore &m_store;
     Promises &m_promises;
+    std::set<std::string> m_evacuated;
     std::uint64_t m_version = 10;
     std::uint16_t m_routes = 0;
 };
--- a/test/soak/soakrun.h
+++ b/test/soak/soakrun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "callers.h"
+#include "drillplan.h"
 #include "faultplan.h"
 #include "peermesh.h"
 #include "publication.h"
@@ -27,6 +28,7 @@
     Duration duration = std::chrono::seconds(30);
     std::uint8_t network = 10; ///< The run uses addresses of 127.NETWORK.
     double flowsPerSecond = 60;
+    bool hasDrills = false; ///< Whether data centres are evacuated and the store goes back to a copy.
 };
 
 /// Plays one seed.
@@ -58,6 +60,9 @@
     void tickTargets(TimePoint now);
     void tickLoad(TimePoint now);
     void apply(const Fault &fault, TimePoint now);
+    void tickDrills(TimePoint now);
+    void apply(const Drill &drill, TimePoint now);
+    void restoreStore(TimePoint now);
     bool applyToInstance(const Fault &fault, TimePoint now);
     bool applyToStore(const Fault &fault, TimePoint now);
     bool applyToPeers(const Fault &fault, TimePoint now);
@@ -84,6 +89,8 @@
     std::vector<RunningTarget> m_targets;
     std::vector<Fault> m_faults;
     std::size_t m_nextFault = 0;
+    std::vector<Drill> m_drills;
+    std::size_t m_nextDrill = 0;
     std::vector<Ending> m_endings; ///< Of the faults that last.
     std::vector<Ending> m_routeProbes;
     std::mt19937_64 m_random;
--- a/test/standins/fakestore.cpp
+++ b/test/standins/fakestore.cpp
@@ -76,6 +76,17 @@
     m_changed.cancel();
 }
 
+std::vector<std::string> FakeStore::keys(const std::string &prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto &[key, item] : m_data.items) {
+        if (key.starts_with(prefix)) {
+            found.push_back(key);
+        }
+    }
+    return found;
+}
+
 void FakeStore::forgetHistory()
 {
     m_data.historyFloor = m_data.revision;
--- a/test/standins/fakestore.h
+++ b/test/standins/fakestore.h
@@ -43,6 +43,9 @@
     /// Removes an item.
     void remove(const std::string &key);
 
+    /// Returns the keys of the items that begin with a prefix.
+    [[nodiscard]] std::vector<std::string> keys(const std::string &prefix) const;
+
     /// Forgets the changes up to now.
     void forgetHistory();
 
--- a/unittests/Fleet/erastest.cpp
+++ b/unittests/Fleet/erastest.cpp
@@ -13,9 +13,6 @@
 
 constexpr Duration RestoreBound = seconds(5);
 
-/// How long what the copy lacks stays in force.
-constexpr Duration Grace = milliseconds(2300);
-
 /// Nine instances in three data centres whose store has made a copy two seconds ago.
 class FleetRestore : public testing::Test
 {
