Keep the slow start of targets across a restore of the store

After a restore all entries are read again, and those in the copy are as old as the slow starts that they announce, so that all targets counted as cold.

Tested: RestoredDirectory.ASlowStartDoesNotBeginAgain, seen to fail without the change; SteeringTests, FleetRestore.*, FleetRestores.*, FleetEvacuation.*.

--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -114,10 +114,16 @@
         return;
     }
     const bool wasDraining = target.record.isDraining;
+    // The copy of an entry that was known before the store was restored says nothing new of the slow start.
+    const bool isKnownEntry = eraOf(target.record.revision) < eraOf(record.revision)
+        || (m_era > 0 && target.record.revision == record.revision);
+    const bool isCopied = !isNew && isKnownEntry;
     target.record = record;
     target.key = key;
     target.isAssigned = target.isAssigned || isNamed;
-    target.warmUpEndsAt = now + record.warmUpLeft;
+    if (!isCopied) {
+        target.warmUpEndsAt = now + record.warmUpLeft;
+    }
     if (isNew || target.presence != TargetPresence::Listed) {
         setPresence(target, TargetPresence::Listed, now);
     }
--- a/unittests/Steering/erastest.cpp
+++ b/unittests/Steering/erastest.cpp
@@ -175,6 +175,25 @@
     EXPECT_EQ(target(1).presence, TargetPresence::Listed);
 }
 
+/// Guards against all targets counting as cold after a restore, because the entries in the copy are as old as
+/// their slow starts.
+TEST_F(RestoredDirectory, ASlowStartDoesNotBeginAgain)
+{
+    TargetRecord record = targetOf(1, 15);
+    record.warmUpLeft = seconds(4);
+    directory.put(record, now);
+    const TimePoint warmUpEndsAt = target(1).warmUpEndsAt;
+    run(seconds(10));
+    record.revision = storeRevision(1, 5);
+    for (int read = 0; read < 2; ++read) {
+        restore({record, copyOf(2)});
+        EXPECT_EQ(target(1).warmUpEndsAt, warmUpEndsAt);
+    }
+    record.revision = storeRevision(1, 12);
+    directory.put(record, now);
+    EXPECT_EQ(target(1).warmUpEndsAt, now + seconds(4)) << "the target says that it is cold again";
+}
+
 /// Guards against entries of the earlier era that a peer still passes on.
 TEST_F(RestoredDirectory, EntriesOfTheEarlierEraAreIgnored)
 {
