Test evacuation and restore at 68 instances

Guards against exceeding the bounds, or the budget of the store, where what a reader has learnt does not fit into its messages.

Tested: FleetEvacuationLarge.*, FleetRestoreLarge.*.

--- a/unittests/Fleet/erastest.cpp
+++ b/unittests/Fleet/erastest.cpp
@@ -336,6 +336,31 @@
     EXPECT_EQ(countPresence(3, TargetPresence::Lapsed), 9U);
 }
 
+/// Guards against exceeding the bound, or the budget of the store, in a large fleet: all entries are new to
+/// all instances, and do not fit into messages.
+TEST(FleetRestoreLarge, AllInstancesAreCurrentWithinTheBound)
+{
+    FakeCluster cluster({68, 3, 150, RestoreBound});
+    cluster.store.makeCopy();
+    cluster.run(seconds(8));
+    const std::uint64_t calls = cluster.store.calls;
+    cluster.store.restoreCopy();
+    const std::optional<Duration> taken = cluster.runUntil(
+        [&]() {
+            return std::all_of(cluster.members.begin(), cluster.members.end(), [&](const FakeMember &member) {
+                return member.control->revision() == cluster.store.revision();
+            });
+        },
+        RestoreBound);
+    ASSERT_TRUE(taken);
+    EXPECT_LE(*taken, milliseconds(500));
+    cluster.run(seconds(3));
+    EXPECT_LE(cluster.store.calls - calls, 3U * 6U);
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.engine->targets().listedCount(), 150U);
+    }
+}
+
 /// Guards against the reader of a new era that reads everything again and again.
 TEST_F(FleetRestore, ANewEraCostsOneCompleteReadPerReader)
 {
--- a/unittests/Fleet/evacuationtest.cpp
+++ b/unittests/Fleet/evacuationtest.cpp
@@ -165,6 +165,26 @@
     }
 }
 
+/// Guards against exceeding the bound in a large fleet whose store hides the entry from waiting reads for a
+/// second, while the readers die. The offsets vary where in the wait of a read it is written.
+TEST(FleetEvacuationLarge, ItIsKnownWithinTheBoundThoughTheStoreHidesItAndReadersDie)
+{
+    for (int offset = 0; offset < 1600; offset += 400) {
+        FakeCluster cluster({68, 3, 150, EvacuationBound});
+        cluster.run(seconds(8) + milliseconds(offset));
+        cluster.store.faults.areWatchesSilent = true;
+        cluster.store.evacuate("dc-1");
+        for (const std::size_t reader : cluster.readers()) {
+            cluster.kill(reader);
+        }
+        cluster.run(seconds(1));
+        cluster.store.faults.areWatchesSilent = false;
+        EXPECT_TRUE(cluster.runUntil(
+            [&]() { return cluster.isEvacuatedEverywhere("dc-1"); }, EvacuationBound - seconds(1)))
+            << offset;
+    }
+}
+
 /// Guards against a reader of an older version that raises the revision of the targets at its peers without
 /// telling them of evacuations: they would never read them.
 TEST(FleetEvacuationMixed, ReadersOfAnOlderVersionHideNothing)
