--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -142,7 +142,7 @@
     /// Records the failed answers that a peer of the own data centre has observed. `peer` is its name.
     void recordPeerFailures(std::string_view peer, const std::vector<TargetFailures> &reports, TimePoint now);
 
-    /// Replaces the routes in force if the version of the new ones is higher; returns whether it did.
+    /// Replaces the routes in force if the new ones are later by era and version; returns whether it did.
     bool replaceRoutes(RouteConfiguration configuration, TimePoint now);
 
     /// Marks the targets of a data centre that limit their cold start as cold, as they have had no flows
--- a/include/jasminequay/Steering/targetchoice.h
+++ b/include/jasminequay/Steering/targetchoice.h
@@ -22,7 +22,7 @@
     /// How long an opening packet may go unanswered before its target gets no more of them.
     Duration openingPatience = std::chrono::milliseconds(100);
     std::vector<std::string> silentDataCentres; ///< Data centres that may be out of reach.
-    std::vector<std::string> evacuatedDataCentres; ///< Data centres whose targets get no new flows.
+    std::vector<std::string> evacuatedDataCentres = {}; ///< Data centres whose targets get no new flows.
     const OutlierEjection *outliers = nullptr; ///< The ejected targets; null if none are ejected.
     /// Chooses by expected time instead of flows per slot; null if not.
     ExpectedTimes *expectedTimes = nullptr;
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -91,9 +91,13 @@
 
 void TargetDirectory::put(const TargetRecord &record, TimePoint now)
 {
-    if (isOutdated(record)) {
-        return;
+    if (!isOutdated(record) && !isHeld(record, now)) {
+        apply(record, now);
     }
+}
+
+void TargetDirectory::apply(const TargetRecord &record, TimePoint now)
+{
     const std::uint64_t key = record.identity.key();
     const bool isNamed = m_services.contains(record.service);
     if (isConflicting(record, isNamed)) {
@@ -110,13 +114,19 @@
         return;
     }
     const bool wasDraining = target.record.isDraining;
-    if (isNew || record.revision != target.record.revision) {
+    // The copy of an entry that was known before the store was restored says nothing new of the slow start.
+    const bool isKnownEntry = eraOf(target.record.revision) < eraOf(record.revision)
+        || (m_era > 0 && target.record.revision == record.revision);
+    const bool isCopied = !isNew && isKnownEntry;
+    if (isNew || (!isCopied && record.revision != target.record.revision)) {
         target.coldUntil = std::max<TimePoint>(target.coldUntil, now + record.warmUpLeft);
     }
     target.record = record;
     target.key = key;
     target.isAssigned = target.isAssigned || isNamed;
-    target.warmUpEndsAt = now + record.warmUpLeft;
+    if (!isCopied) {
+        target.warmUpEndsAt = now + record.warmUpLeft;
+    }
     if (isNew || target.presence != TargetPresence::Listed) {
         setPresence(target, TargetPresence::Listed, now);
     }
@@ -185,6 +195,10 @@
     }
     std::uint64_t &removal = m_removals[name];
     removal = std::max(removal, revision);
+    if (const auto held = m_held.find(name);
+        held != m_held.end() && held->second.record.revision <= revision) {
+        m_held.erase(held);
+    }
     if (target != nullptr && target->record.revision <= revision) {
         lapse(*target, now);
     }
@@ -198,6 +212,7 @@
         names.insert(record.name);
         put(record, now);
     }
+    dropHeldRecords(names, revision);
     std::vector<std::string> missing;
     for (const auto &[key, target] : m_targets) {
         const bool isMissing = target.presence == TargetPresence::Listed
@@ -241,6 +256,8 @@
 
 void TargetDirectory::expire(TimePoint now, const std::function<void(std::uint64_t)> &forget)
 {
+    m_evacuations.expire(m_timing.lapseGrace, now);
+    applyHeldRecords(now);
     for (auto position = m_watched.begin(); position != m_watched.end();) {
         const std::uint64_t key = *position;
         const auto found = m_targets.find(key);
