--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -34,7 +34,7 @@
     Duration refusalAge = std::chrono::milliseconds(1500);
     DirectoryTiming directory;
     LoadLimits loadLimits;
-    SteeringFeatures features;
+    SteeringFeatures features = {};
 };
 
 /// The fields of a packet that the engine uses, independent of its format.
