Do not hedge openings: refuse second-try-share above 0

Cause: a copy of an opening packet at a second target gives a caller two answers in nearly all calm cases, as one in twenty openings at working targets is later than the 95% quantile. The second answer changes the token that the caller sends back, but not the target at which the flow opened. An instance that holds no packet of the flow after the opening cannot tell this from a flow that the second target owns, and forwards data to a target that resets an open flow.

--- a/unittests/Settings/steeringinstancesettingstest.cpp
+++ b/unittests/Settings/steeringinstancesettingstest.cpp
@@ -80,6 +80,19 @@
     }
 }
 
+/// Guards against an instance that sends openings to a second target, which can reset open flows.
+TEST(SteeringInstanceSettings, OnlyNoSecondTriesAreAccepted)
+{
+    EXPECT_TRUE(parseSteeringInstanceSettings(Whole + "second-try-share: 0\n").mistakes.empty());
+    EXPECT_TRUE(parseSteeringInstanceSettings(Whole + "second-try-share: \"0.0\"\n").mistakes.empty());
+    for (const char *const share : {"0.001", "0.2", "0.3", "-0.1", "some"}) {
+        const Mistakes mistakes
+            = parseSteeringInstanceSettings(Whole + "second-try-share: " + share + "\n").mistakes;
+        ASSERT_EQ(mistakes.size(), 1U) << share;
+        EXPECT_NE(mistakes.front().message.find("hedged-openings.md"), std::string::npos);
+    }
+}
+
 TEST(SteeringInstanceSettings, MutatedFilesNeverCrash)
 {
     std::mt19937_64 random(20261204);
