--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Node/directoryfeed.h"
+#include "jasminequay/Node/placementpage.h"
 #include "jasminequay/Node/settingswatch.h"
 #include "jasminequay/Node/steeringcontrol.h"
 #include "jasminequay/Node/steeringmetrics.h"
@@ -104,7 +105,10 @@
         if (path == "/metrics") {
             return {200, steeringMetricsPage(m_control, m_path.counters(), m_log.leftOut(), bootTime())};
         }
-        return {404, "pages: /metrics\n"};
+        if (std::optional<OperatorPage> page = placementPage(m_control, path, bootTime())) {
+            return std::move(*page);
+        }
+        return {404, "pages: /metrics, " + std::string(PlacementPath) + "ADDRESS:PORT\n"};
     }
 
     void awaitSignal()
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Steering/flowmemory.h"
+#include "jasminequay/Steering/placementpreview.h"
 #include "jasminequay/Steering/routetable.h"
 #include "jasminequay/Steering/serviceload.h"
 #include "jasminequay/Steering/steeredpacket.h"
@@ -18,6 +19,8 @@
 namespace jasminequay
 {
 
+struct ChoiceRequest;
+
 /// The settings of an engine.
 struct SteeringSettings {
     std::string dataCentre; ///< The data centre of this instance.
@@ -77,6 +80,10 @@
     /// Returns resets for open flows at lost targets, at most `limit` per call, and removes old flows.
     std::vector<PendingReset> sweep(TimePoint now, std::size_t limit);
 
+    /// Returns where sampled new flows of a route would go now, and why. Changes no state that decisions
+    /// depend on.
+    [[nodiscard]] PlacementPreview previewPlacement(const Route &route, TimePoint now);
+
     /// Records that the routes and targets known here were complete at the given time.
     void markCurrentAt(TimePoint at);
 
@@ -145,6 +152,10 @@
     SteeringDecision makeDrop(SteeringCause cause);
     Placement place(
         const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now);
+    std::map<std::string, PreviewedDataCentre> previewDataCentres(
+        const Route &route, const std::string &service, const ChoiceRequest &request, TimePoint now);
+    PreviewedService previewService(
+        const Route &route, const WeightedService &service, const SampledFlows &flows, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void trackProgress(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
     void beginRequest(FlowState &state, KnownTarget &target, TimePoint now);
--- a/tools/jasminequay/explaincommand.cpp
+++ b/tools/jasminequay/explaincommand.cpp
@@ -1,4 +1,5 @@
 #include "commandline.h"
+#include "explainroute.h"
 #include "explainsteering.h"
 #include "jasminequay/Flow/flowname.h"
 #include "jasminequay/Placement/cataloguebuilder.h"
@@ -122,6 +123,28 @@
     return explainSteering(encodedResponse, text, steered, token);
 }
 
+static ExitCode printFailure(const Failure &failure)
+{
+    std::cerr << "jasminequay: " << describe(failure) << '\n';
+    return ExitCode::Failure;
+}
+
+static ExitCode explainInstanceRoute(const cxxopts::ParseResult &given)
+{
+    if (given.count("instance") == 0
+        || given.count("flow") + given.count("image") + given.count("tree") > 0) {
+        return usage("explain --route needs --instance, and neither --flow, --image nor --tree");
+    }
+    const std::string text = given["instance"].as<std::string>();
+    const std::optional<Endpoint> instance = parseEndpoint(text);
+    if (!instance) {
+        return usage("'" + text + "' is not an address with a port");
+    }
+    const std::string route = given["route"].as<std::string>();
+    return withFailure(
+        [&]() { return explainRoute(*instance, route, given.count("json") > 0); }, printFailure);
+}
+
 ExitCode runExplain(int argumentCount, char **arguments)
 {
     cxxopts::Options options(
@@ -130,16 +153,24 @@
         "flow", "SRC:PORT,DST:PORT,tcp|udp", cxxopts::value<std::vector<std::string>>())("instance",
         "the control address of a running instance that steers by token", cxxopts::value<std::string>())(
         "image", "what such an instance knows, fetched from its /directory", cxxopts::value<std::string>())(
-        "token", "the token of a packet", cxxopts::value<std::uint32_t>()->default_value("0"));
+        "token", "the token of a packet", cxxopts::value<std::uint32_t>()->default_value("0"))("route",
+        "the name or address of a route: where its new flows would go at the instance now",
+        cxxopts::value<std::string>())("json", "print the explanation of a route as JSON");
     ExitCode exit = ExitCode::Success;
     const std::optional<cxxopts::ParseResult> given = parseOptions(options, argumentCount, arguments,
         "jasminequay explain --tree tree.yaml --flow 10.9.0.1:4000,10.1.0.1:443,tcp", exit);
     if (!given) {
         return exit;
     }
+    if (given->count("route") > 0) {
+        return explainInstanceRoute(*given);
+    }
+    if (given->count("json") > 0) {
+        return usage("explain --json needs --route");
+    }
     const bool isSteering = given->count("instance") + given->count("image") > 0;
     if ((given->count("tree") == 0 && !isSteering) || given->count("flow") == 0) {
-        return usage("explain needs --tree, --instance or --image, and --flow");
+        return usage("explain needs --tree, --instance or --image, and --flow, or --instance and --route");
     }
     // The option library splits values at commas.
     std::string text;
@@ -161,10 +192,7 @@
             return printMistakes(tree.mistakes, path) ? ExitCode::Mistakes
                                                       : explain(tree.configuration, *flow);
         },
-        [](const Failure &failure) {
-            std::cerr << "jasminequay: " << describe(failure) << '\n';
-            return ExitCode::Failure;
-        });
+        printFailure);
 }
 
 } // namespace jasminequay
--- a/tools/jasminequay/explainsteering.cpp
+++ b/tools/jasminequay/explainsteering.cpp
@@ -19,11 +19,10 @@
 /// Any moment will do: ages are what matters.
 constexpr TimePoint Now = TimePoint(std::chrono::hours(1));
 
-Result<std::string> fetchDirectory(Endpoint instance)
+Result<std::string> fetchPage(Endpoint instance, const std::string &path)
 {
     boost::asio::io_context context;
     HttpAnswer answer;
-    const std::string path(PeerChannel::DirectoryPath);
     boost::asio::co_spawn(context,
         httpGet(instance, path, {FetchTimeout, MaximumResponseSize}, Step::ConnectPeer),
         [&answer](const std::exception_ptr &failure, HttpAnswer result) {
@@ -36,11 +35,17 @@
         return fail(answer.failure->step, answer.failure->peer, answer.failure->message);
     }
     if (answer.status != 200) {
-        return fail(Step::ConnectPeer, format(instance), "status " + std::to_string(answer.status));
+        return fail(
+            Step::ConnectPeer, format(instance), "status " + std::to_string(answer.status) + " for " + path);
     }
     return answer.body;
 }
 
+Result<std::string> fetchDirectory(Endpoint instance)
+{
+    return fetchPage(instance, std::string(PeerChannel::DirectoryPath));
+}
+
 static std::string hexadecimal(SteeringToken token)
 {
     char text[16];
--- a/tools/jasminequay/explainsteering.h
+++ b/tools/jasminequay/explainsteering.h
@@ -10,6 +10,9 @@
 namespace jasminequay
 {
 
+/// Fetches a page of a running instance; `instance` is its control address.
+Result<std::string> fetchPage(Endpoint instance, const std::string &path);
+
 /// Fetches what a running instance knows; `instance` is its control address.
 Result<std::string> fetchDirectory(Endpoint instance);
 
--- a/unittests/Steering/serviceloadtest.cpp
+++ b/unittests/Steering/serviceloadtest.cpp
@@ -247,4 +247,25 @@
     EXPECT_EQ(instance.take(openingOf(1000)).action, SteeringAction::Forward);
 }
 
+/// Guards against an explanation that names a target of a full data centre as the one that gets new flows.
+TEST_F(LimitedInstance, ThePreviewShowsAFullDataCentreAndWhereItsFlowsGo)
+{
+    addTargets(0, 2, "dc-1");
+    overload();
+    const auto preview = [&]() {
+        return instance.engine.previewPlacement(*instance.engine.routes().at(Service), instance.now);
+    };
+    const PlacementPreview full = preview();
+    EXPECT_EQ(full.refusedAsFull, full.samples);
+    EXPECT_TRUE(full.services.front().dataCentres.at("dc-1").isFull);
+    EXPECT_TRUE(full.services.front().dataCentres.at("dc-1").limit.has_value());
+    EXPECT_EQ(full.services.front().ranking.front().reason, PlacementReason::DataCentreFull);
+    addTargets(2, 20, "dc-2");
+    const PlacementPreview spilled = preview();
+    EXPECT_EQ(spilled.refusedAsFull, 0U);
+    for (const PreviewedTarget &item : spilled.services.front().ranking) {
+        EXPECT_TRUE(item.newFlows == 0 || item.target->record.dataCentre == "dc-2");
+    }
+}
+
 } // namespace jasminequay::steering
