--- a/tools/jasminequay/explainroute.cpp
+++ b/tools/jasminequay/explainroute.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <iostream>
 
@@ -34,7 +35,7 @@
 
 static std::string percentText(const json::value &share)
 {
-    return std::to_string(static_cast<int>(share.to_number<double>() * 100 + 0.5)) + "%";
+    return std::to_string(std::lround(share.to_number<double>() * 100)) + "%";
 }
 
 static std::string_view textOf(const json::value &value)
