--- a/unittests/UsersPlatform/steeringnodetest.cpp
+++ b/unittests/UsersPlatform/steeringnodetest.cpp
@@ -156,6 +156,9 @@
     ASSERT_TRUE(header);
     EXPECT_EQ(steeringToken(TargetIdentity{0x2a, 5}.key(), header->token() >> 30), header->token());
 
+    EXPECT_EQ(page(17863, "/placement?address=198.18.0.1:443").status, 200U);
+    EXPECT_EQ(page(17863, "/placement?address=198.18.0.9:443").status, 404U);
+    EXPECT_EQ(page(17863, "/placement?address=checkout").status, 400U);
     const HttpAnswer metrics = page(17863, "/metrics");
     EXPECT_NE(metrics.body.find("jasminequay_decisions_total{cause=\"placed\"}"), std::string::npos);
     EXPECT_EQ(page(17863, PeerChannel::DirectoryPath.data()).status, 200U);
