Retransmit unanswered packets early to the same target, within a share

Cause: a datagram that is lost between instance and target costs its caller 200 ms, as callers retransmit only then.

Change: with second-try-share above 0, opening packets and single-packet requests of repeatable routes are kept until the flow goes on. After the 99% quantile of recent times, at most 120 ms, the same datagram is sent once more to the same target, limited by a token bucket, and not to targets in trouble or while several openings of the data centre are overdue.

--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -54,6 +54,7 @@
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_context)
     {
+        m_path.setRetransmissionShare(settings.secondTryShare);
     }
 
     /// Opens all sockets and runs until the process is told to stop.
@@ -142,6 +143,7 @@
             m_settings = *settings;
             m_clock.setOffset(settings->clockOffset);
             m_control.reconfigure(*settings);
+            m_path.setRetransmissionShare(settings->secondTryShare);
         }
     }
 
--- a/include/jasminequay/Node/steeringpath.h
+++ b/include/jasminequay/Node/steeringpath.h
@@ -3,8 +3,9 @@
 
 #include "jasminequay/Fabric/datagrambatch.h"
 #include "jasminequay/Fabric/datagramsender.h"
-#include "jasminequay/Steering/steeringengine.h"
+#include "jasminequay/Steering/retransmissionrules.h"
 #include "jasminequay/Support/bootclock.h"
+#include "jasminequay/Support/logevent.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -55,6 +56,7 @@
     /// the last bucket all longer ones too.
     std::array<std::uint64_t, 12> latencyBuckets{};
     std::uint64_t latencyNanoseconds = 0; ///< The total time of all decisions.
+    EarlyRetransmissionCounters earlyRetransmissions;
 };
 
 /// Callbacks that the owner of a path provides.
@@ -74,6 +76,7 @@
         , m_hooks(std::move(hooks))
         , m_readable(context)
         , m_timer(context)
+        , m_retransmissionTimer(context)
         , m_batch(Adapter::Headroom)
     {
     }
@@ -110,9 +113,19 @@
         m_timer.cancel();
     }
 
-    [[nodiscard]] const PathCounters &counters() const
+    /// Sets the maximum of early retransmissions as a share of the packets that are covered; 0 turns them
+    /// off.
+    void setRetransmissionShare(double share)
     {
-        return m_counters;
+        m_retransmission.setShare(share);
+        logRetransmissionBudget();
+    }
+
+    [[nodiscard]] PathCounters counters() const
+    {
+        PathCounters counters = m_counters;
+        counters.earlyRetransmissions = m_retransmission.counters();
+        return counters;
     }
 
     /// Returns when the last packet was received.
@@ -128,6 +141,8 @@
     static constexpr unsigned MaximumBatchesPerTurn = 4;
     /// How often maySteer() is checked while packets are held back.
     static constexpr auto HoldPollInterval = std::chrono::milliseconds(10);
+    /// How often pending packets are checked for early retransmission.
+    static constexpr auto RetransmissionPollInterval = std::chrono::milliseconds(5);
 
     boost::asio::awaitable<void> run()
     {
@@ -140,11 +155,16 @@
             }
             co_await m_readable.async_wait(boost::asio::posix::stream_descriptor::wait_read,
                 boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-            for (unsigned round = 0; round < MaximumBatchesPerTurn && m_hooks.maySteer(); ++round) {
-                readBacklog();
-                if (readBatch() < BatchSize) {
-                    break;
-                }
+            readBatches();
+        }
+    }
+
+    void readBatches()
+    {
+        for (unsigned round = 0; round < MaximumBatchesPerTurn && m_hooks.maySteer(); ++round) {
+            readBacklog();
+            if (readBatch() < BatchSize) {
+                break;
             }
         }
     }
@@ -186,12 +206,18 @@
         }
         const PacketSummary summary = summarize(*packet);
         const SteeringDecision decision = m_engine.decideSummary(summary, now);
+        if (m_retransmission.isEnabled()) {
+            m_retransmission.recordPacket(summary, now);
+        }
         switch (decision.action) {
         case SteeringAction::Forward: {
             const std::span<std::uint8_t> datagram = m_batch.datagramWithHeadroom(index);
             Adapter::writeForward(datagram, decision.targetId, decision.token);
             queue(datagram, decision.target);
             ++m_counters.forwarded;
+            if (m_retransmission.isEnabled()) {
+                awaitAnswer(summary, decision, datagram, now);
+            }
             break;
         }
         case SteeringAction::Reset:
@@ -203,6 +229,70 @@
         m_hooks.onDecision(summary, decision, now);
     }
 
+    void awaitAnswer(const PacketSummary &summary, const SteeringDecision &decision,
+        std::span<const std::uint8_t> datagram, TimePoint now)
+    {
+        if (const auto awaited = awaitedPacket(m_engine, summary, decision, now)) {
+            m_retransmission.await(*awaited, datagram, now);
+            logRetransmissionBudget();
+            scheduleRetransmission();
+        }
+    }
+
+    /// Checks pending packets after an interval, and again as long as there are any.
+    void scheduleRetransmission()
+    {
+        if (m_isRetransmissionScheduled || m_retransmission.pendingCount() == 0) {
+            return;
+        }
+        m_isRetransmissionScheduled = true;
+        m_retransmissionTimer.expires_after(RetransmissionPollInterval);
+        m_retransmissionTimer.async_wait([this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            m_isRetransmissionScheduled = false;
+            retransmit();
+            scheduleRetransmission();
+        });
+    }
+
+    void retransmit()
+    {
+        if (!m_hooks.maySteer()) {
+            m_retransmission.discardPending();
+            return;
+        }
+        // What has arrived is read first, so that a busy or paused instance does not take unread packets for
+        // missing ones.
+        readBatches();
+        const TimePoint now = bootTime();
+        const auto isPermitted = [this, now](std::uint64_t targetKey, const SteeredFlow &flow) {
+            return mayRetransmit(m_engine, targetKey, flow, now);
+        };
+        const std::vector<RetransmittedDatagram> copies = m_retransmission.due(now, isPermitted);
+        for (const RetransmittedDatagram &copy : copies) {
+            queue(copy.bytes, copy.target);
+        }
+        flush();
+        logRetransmissionBudget();
+    }
+
+    void logRetransmissionBudget()
+    {
+        const bool isExhausted = m_retransmission.isBudgetExhausted();
+        if (isExhausted == m_isBudgetLoggedExhausted) {
+            return;
+        }
+        m_isBudgetLoggedExhausted = isExhausted;
+        const EarlyRetransmissionCounters &counters = m_retransmission.counters();
+        LogEvent(Severity::Info,
+            isExhausted ? "retransmission-budget-exhausted" : "retransmission-budget-regained")
+            .with("covered", counters.covered)
+            .with("sent", counters.sent)
+            .with("suppressed", counters.suppressedByBudget);
+    }
+
     void queueReset(const SteeredFlow &flow, std::uint32_t sequence)
     {
         if (m_resetCount == m_resets.size()) {
@@ -241,6 +331,10 @@
     UdpSocket m_socket;
     boost::asio::posix::stream_descriptor m_readable;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_retransmissionTimer;
+    EarlyRetransmission m_retransmission;
+    bool m_isRetransmissionScheduled = false;
+    bool m_isBudgetLoggedExhausted = false;
     DatagramBatch m_batch;
     DatagramSender m_sender;
     std::array<Reset, BatchSize> m_resets{};
--- a/include/jasminequay/Settings/steeringinstancesettings.h
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -29,6 +29,8 @@
     Duration flowLifetime = std::chrono::seconds(60); ///< How long a silent flow is remembered.
     std::uint32_t storeReadsPerSecond = 2000; ///< The budget of the whole fleet.
     std::uint32_t flowMemory = 65536; ///< The flows that are remembered.
+    /// The maximum of early retransmissions as a share of the packets that are covered; 0 is off.
+    double secondTryShare = 0;
     std::string logLevel = "info";
     /// Where peers' messages and control pages arrive, if peers know the instance by a translated address.
     std::optional<Ipv4Address> bindAddress;
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -27,6 +27,19 @@
         .metric.push_back(latency);
 }
 
+static void addRetransmissions(PageBuilder &page, const EarlyRetransmissionCounters &counters)
+{
+    page.counter("early_retransmission_packets_covered_total", "Packets that may be retransmitted early.",
+        counters.covered);
+    page.counter("early_retransmissions_total", "Packets sent once more to the same target.", counters.sent);
+    page.counter("early_retransmissions_suppressed_by_budget_total",
+        "Early retransmissions beyond second-try-share.", counters.suppressedByBudget);
+    page.counter("early_retransmissions_suppressed_by_load_total",
+        "Early retransmissions left out because of the state of targets.", counters.suppressedByLoad);
+    page.counter("early_retransmissions_answered_total",
+        "Flows that went on within 10 ms after an early retransmission.", counters.answered);
+}
+
 static void addDecisions(PageBuilder &page, const SteeringCounters &counters)
 {
     prometheus::MetricFamily &decisions = page.family(
@@ -131,6 +144,7 @@
 {
     PageBuilder page;
     addPath(page, path);
+    addRetransmissions(page, path.earlyRetransmissions);
     addDecisions(page, control.engine().counters());
     addLoads(page, control, now);
     addTargets(page, control, now);
--- a/lib/Settings/steeringinstancesettings.cpp
+++ b/lib/Settings/steeringinstancesettings.cpp
@@ -18,12 +18,13 @@
     return rate && *rate >= 1 && *rate <= 1e9 ? std::optional<std::uint64_t>(*rate) : std::nullopt;
 }
 
-/// Accepts only 0: the answer of a second target can come after the flow has opened at the first one, and an
-/// instance that has not seen the flow then sends its data to the wrong target, which resets it.
+/// A higher share would add more load to targets than lost datagrams can explain.
+constexpr double MaximumSecondTryShare = 0.2;
+
 static std::optional<double> parseSecondTryShare(std::string_view text)
 {
     const std::optional<double> share = parseReal(text);
-    return share && *share == 0 ? share : std::nullopt;
+    return share && *share >= 0 && *share <= MaximumSecondTryShare ? share : std::nullopt;
 }
 
 static void readSeeds(YamlMapping &mapping, SteeringInstanceSettings &settings, Mistakes &mistakes)
@@ -81,10 +82,8 @@
         settings.storeReadsPerSecond);
     mapping.takeParsed("flow-memory", "a number of flows from 1024 to 16777216", false,
         parseWithin<1024, 1 << 24>, settings.flowMemory);
-    double secondTryShare = 0;
-    mapping.takeParsed("second-try-share",
-        "0: a copy of an opening at a second target can reset open flows (docs/design/hedged-openings.md)",
-        false, parseSecondTryShare, secondTryShare);
+    mapping.takeParsed(
+        "second-try-share", "a share from 0 to 0.2", false, parseSecondTryShare, settings.secondTryShare);
     mapping.takeParsed(
         "log-level", "a level (info, warning, error)", false, parseLogLevel, settings.logLevel);
     mapping.refuseRest();
