Describe early retransmission; keep a caller's copy at its target after one

Cause: a late early copy and the caller's own copy could reach two targets, whose answers reset the flow in some orders.

Change: a caller's copy within 40 ms after an early one goes to the same target. HedgedOpening also plays copies to the same target.

--- a/include/jasminequay/Node/steeringpath.h
+++ b/include/jasminequay/Node/steeringpath.h
@@ -273,6 +273,7 @@
         const std::vector<RetransmittedDatagram> copies = m_retransmission.due(now, isPermitted);
         for (const RetransmittedDatagram &copy : copies) {
             queue(copy.bytes, copy.target);
+            m_engine.recordEarlyRetransmission(copy.flow, now);
         }
         flush();
         logRetransmissionBudget();
--- a/include/jasminequay/Steering/earlyretransmission.h
+++ b/include/jasminequay/Steering/earlyretransmission.h
@@ -43,6 +43,7 @@
 
 /// A datagram to be sent once more.
 struct RetransmittedDatagram {
+    SteeredFlow flow;
     Endpoint target;
     std::vector<std::uint8_t> bytes; ///< As it was sent before.
 };
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -69,6 +69,10 @@
     /// Decides about a summarized packet.
     SteeringDecision decideSummary(const PacketSummary &packet, TimePoint now);
 
+    /// Records that the opening packet of a flow was sent once more to the same target. Its answer may be
+    /// under way when the caller's own copy arrives; that copy then must not go to another target.
+    void recordEarlyRetransmission(const SteeredFlow &flow, TimePoint now);
+
     /// Sets whether the packets that arrive now were queued while the instance was paused. Their callers have
     /// retransmitted since, and other instances have placed those flows. A second target would answer an old
     /// opening packet when the flow is already open, and its token would misdirect the flow's packets.
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -35,7 +35,8 @@
     page.counter("early_retransmissions_suppressed_by_budget_total",
         "Early retransmissions beyond second-try-share.", counters.suppressedByBudget);
     page.counter("early_retransmissions_suppressed_by_load_total",
-        "Early retransmissions left out because of the state of targets.", counters.suppressedByLoad);
+        "Early retransmissions left out because of the state of targets, or because the instance was late.",
+        counters.suppressedByLoad);
     page.counter("early_retransmissions_answered_total",
         "Flows that went on within 10 ms after an early retransmission.", counters.answered);
 }
--- a/lib/Steering/earlyretransmission.cpp
+++ b/lib/Steering/earlyretransmission.cpp
@@ -188,7 +188,7 @@
         } else {
             ++m_counters.sent;
             entry.retransmittedAt = now;
-            copies.push_back({entry.packet.target, entry.datagram});
+            copies.push_back({entry.packet.flow, entry.packet.target, entry.datagram});
         }
         discardDatagram(entry);
     }
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -9,6 +9,9 @@
 /// datagram.
 constexpr Duration MinimumRetransmissionInterval = milliseconds(120);
 
+/// The answer to an opening packet that was sent once more has reached the caller after this time.
+constexpr Duration EarlyAnswerTime = milliseconds(40);
+
 /// Sequence numbers that are further apart than this belong to different flows.
 constexpr std::int32_t MaximumStreamDistance = 1 << 24;
 
@@ -170,6 +173,15 @@
     return makeForward(*target, token, isMoved ? SteeringCause::PlacedAgain : SteeringCause::Placed);
 }
 
+void SteeringEngine::recordEarlyRetransmission(const SteeredFlow &flow, TimePoint now)
+{
+    FlowState *const state = m_flows.find(flow);
+    if (state != nullptr && state->stage == FlowStage::Opening) {
+        // A copy of the caller that arrives within the answer time counts as a duplicate.
+        state->seenAt = std::max(state->seenAt, now + EarlyAnswerTime - MinimumRetransmissionInterval);
+    }
+}
+
 /// Returns the target of a packet. While a flow opens, the token in the caller's first packet after the
 /// opening packet determines its target. Afterwards a late answer of another target may change the token that
 /// the caller sends, but not the target.
--- a/unittests/Steering/earlyretransmissiontest.cpp
+++ b/unittests/Steering/earlyretransmissiontest.cpp
@@ -53,7 +53,10 @@
             const auto due = early.due(now, [this](std::uint64_t key, const SteeredFlow &flow) {
                 return mayRetransmit(engine, key, flow, now);
             });
-            copies.insert(copies.end(), due.begin(), due.end());
+            for (const RetransmittedDatagram &copy : due) {
+                engine.recordEarlyRetransmission(copy.flow, now);
+                copies.push_back(copy);
+            }
         }
         return copies;
     }
@@ -299,6 +302,19 @@
     EXPECT_EQ(instance.early.pendingCount(), 0U);
 }
 
+/// Guards against two targets that answer one opening: a late early copy and the caller's own copy. Without
+/// an answer the caller's copy must still go to another target.
+TEST(EarlyRetransmissionTest, ACallersCopyStaysAtTheTargetWhileTheEarlyCopyMayBeAnswered)
+{
+    for (const int late : {30, 80}) {
+        RetransmittingInstance instance(0.2, RequestKind::Idempotent, 2);
+        const SteeringDecision first = instance.handle(openingOf(1));
+        ASSERT_EQ(instance.wait(milliseconds(120)).size(), 1U);
+        const SteeringDecision second = instance.handle(openingOf(1, 1), milliseconds(late));
+        EXPECT_EQ(second.targetId == first.targetId, late < 40) << late;
+    }
+}
+
 /// Guards against unbounded memory: the oldest pending packet is dropped, and large ones are not kept.
 TEST(EarlyRetransmissionTest, PendingPacketsAreBounded)
 {
--- a/unittests/Steering/hedgedopeningtest.cpp
+++ b/unittests/Steering/hedgedopeningtest.cpp
@@ -1,5 +1,6 @@
 // Guards against allowing a second target for an opening that the first one may still answer: tests in which
-// orders that resets an open flow. See docs/design/hedged-openings.md.
+// orders that resets an open flow, and that a copy to the same target resets none. See
+// docs/design/second-try.md.
 #include "openingmodel.h"
 #include "steeringfixture.h"
 
@@ -30,9 +31,11 @@
     return orders;
 }
 
-/// Runs one order and returns the two targets. The first one gets the opening packet, the second one its
-/// copy.
-static std::vector<ModelTarget> play(const HedgedOrder &order)
+/// Where the copy of an opening packet goes.
+enum class CopyTo : std::uint8_t { OtherTarget, SameTarget };
+
+/// Runs one order and returns the two targets. The first one gets the opening packet, `copyTo` its copy.
+static std::vector<ModelTarget> play(const HedgedOrder &order, CopyTo copyTo)
 {
     SteeredInstance instances[2] = {SteeredInstance(2), SteeredInstance(2)};
     const SteeringDecision first = instances[0].take(openingOf(1));
@@ -48,9 +51,10 @@
         EXPECT_EQ(decision.action, SteeringAction::Forward);
         targets[decision.targetId == first.targetId ? 0 : 1].onData(*caller.answered + 1);
     };
-    for (const unsigned answering : order.answers) {
+    for (const unsigned answer : order.answers) {
+        const unsigned answering = copyTo == CopyTo::SameTarget ? 0 : answer;
         caller.onAnswer(targets[answering].number, tokens[answering]);
-        if (order.isRequestBetween && answering == order.answers.front()) {
+        if (order.isRequestBetween && answer == order.answers.front()) {
             request(order.firstInstance);
         }
     }
@@ -58,12 +62,12 @@
     return targets;
 }
 
-/// If a hedged order stops to reset flows, the settings check may allow it.
+/// If no order resets a flow any more, copies to another target may be weighed again.
 TEST(HedgedOpening, ALateSecondAnswerResetsTheFlowAtAnInstanceThatDidNotSeeItsRequest)
 {
     unsigned resets = 0;
     for (const HedgedOrder &order : hedgedOrders()) {
-        const std::vector<ModelTarget> targets = play(order);
+        const std::vector<ModelTarget> targets = play(order, CopyTo::OtherTarget);
         const bool isFlowSeen = order.isRequestBetween && order.firstInstance == order.lastInstance;
         const bool isReset = order.answers.size() == 2 && !isFlowSeen;
         EXPECT_EQ(targets[0].resets + targets[1].resets, isReset ? 1U : 0U)
@@ -76,10 +80,23 @@
 TEST(HedgedOpening, NoOrderLetsTwoTargetsRunARequest)
 {
     for (const HedgedOrder &order : hedgedOrders()) {
-        const std::vector<ModelTarget> targets = play(order);
+        const std::vector<ModelTarget> targets = play(order, CopyTo::OtherTarget);
         EXPECT_FALSE(targets[0].runs > 0 && targets[1].runs > 0)
             << order.answers.front() << order.isRequestBetween << order.firstInstance << order.lastInstance;
     }
 }
 
+/// Guards against early retransmissions that reset a flow: the answers of one target have one number and one
+/// token, so that every order of them ends at the target that holds the flow.
+TEST(HedgedOpening, ACopyToTheSameTargetResetsNoFlow)
+{
+    for (const HedgedOrder &order : hedgedOrders()) {
+        const std::vector<ModelTarget> targets = play(order, CopyTo::SameTarget);
+        EXPECT_EQ(targets[0].resets + targets[1].resets, 0U)
+            << order.answers.front() << order.isRequestBetween << order.firstInstance << order.lastInstance;
+        EXPECT_EQ(targets[0].runs, order.isRequestBetween ? 2U : 1U) << "once for each request";
+        EXPECT_EQ(targets[1].runs, 0U);
+    }
+}
+
 } // namespace jasminequay::steering
