Fix the wait for datagrams in the tests of the packet path

Cause: the condition was evaluated again after it had held, and lost the datagram that it had received; all four tests failed.

Tested: the four tests, six times in a row.

--- a/unittests/UsersPlatform/earlyretransmissiontest.cpp
+++ b/unittests/UsersPlatform/earlyretransmissiontest.cpp
@@ -102,24 +102,27 @@
     template <typename Condition> bool runUntil(Condition condition)
     {
         const TimePoint limit = bootTime() + std::chrono::seconds(20);
-        while (!condition() && bootTime() < limit) {
+        bool isMet = condition();
+        while (!isMet && bootTime() < limit) {
             context.run_one_for(milliseconds(1));
+            isMet = condition();
         }
-        return condition();
+        return isMet;
     }
 
-    /// Returns the next datagram of a caller that the target receives; an empty one if there is none.
+    /// Returns the next datagram of a caller that the target receives; zeros if there is none.
     Datagram receive(std::uint16_t port)
     {
         Datagram bytes;
-        runUntil([&]() {
+        const bool isReceived = runUntil([&]() {
             bytes.resize(2048);
             boost::system::error_code error;
             bytes.resize(target.receive(asio::buffer(bytes), 0, error));
             return bytes.size() >= TargetIdSize + HeaderSize
                 && PacketHeader::parse(std::span(bytes).subspan(TargetIdSize))->flow().caller.port == port;
         });
-        return bytes;
+        EXPECT_TRUE(isReceived) << port;
+        return isReceived ? bytes : Datagram(TargetIdSize + HeaderSize);
     }
 
     /// Opens a flow that is answered at once.
