--- a/include/jasminequay/Node/steeringnode.h
+++ b/include/jasminequay/Node/steeringnode.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Node/directoryfeed.h"
+#include "jasminequay/Node/placementpage.h"
 #include "jasminequay/Node/settingswatch.h"
 #include "jasminequay/Node/steeringcontrol.h"
 #include "jasminequay/Node/steeringmetrics.h"
@@ -53,6 +54,7 @@
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_context)
     {
+        m_path.setRetransmissionShare(settings.secondTryShare);
     }
 
     /// Opens all sockets and runs until the process is told to stop.
@@ -104,7 +106,10 @@
         if (path == "/metrics") {
             return {200, steeringMetricsPage(m_control, m_path.counters(), m_log.leftOut(), bootTime())};
         }
-        return {404, "pages: /metrics\n"};
+        if (std::optional<OperatorPage> page = placementPage(m_control, path, bootTime())) {
+            return std::move(*page);
+        }
+        return {404, "pages: /metrics, " + std::string(PlacementPath) + "ADDRESS:PORT\n"};
     }
 
     void awaitSignal()
@@ -138,6 +143,7 @@
             m_settings = *settings;
             m_clock.setOffset(settings->clockOffset);
             m_control.reconfigure(*settings);
+            m_path.setRetransmissionShare(settings->secondTryShare);
         }
     }
 
--- a/include/jasminequay/Settings/steeringinstancesettings.h
+++ b/include/jasminequay/Settings/steeringinstancesettings.h
@@ -32,6 +32,8 @@
     double coldFactor = 1; ///< The factor in the bound on the new flows of a cold target.
     double coldSlack = 0; ///< The flows per second that this bound has beyond the factor.
     std::uint32_t flowMemory = 65536; ///< The flows that are remembered.
+    /// The maximum of early retransmissions as a share of the packets that are covered; 0 is off.
+    double secondTryShare = 0;
     std::string logLevel = "info";
     SteeringFeatures features; ///< Decisions that the deployment asks for.
     /// Where peers' messages and control pages arrive, if peers know the instance by a translated address.
--- a/include/jasminequay/Steering/steeringengine.h
+++ b/include/jasminequay/Steering/steeringengine.h
@@ -5,6 +5,7 @@
 #include "jasminequay/Steering/answerquality.h"
 #include "jasminequay/Steering/coldtargetlimit.h"
 #include "jasminequay/Steering/flowmemory.h"
+#include "jasminequay/Steering/placementpreview.h"
 #include "jasminequay/Steering/priorityadmission.h"
 #include "jasminequay/Steering/routetable.h"
 #include "jasminequay/Steering/serviceload.h"
@@ -74,6 +75,10 @@
     /// Decides about a summarized packet.
     SteeringDecision decideSummary(const PacketSummary &packet, TimePoint now);
 
+    /// Records that the opening packet of a flow was sent once more to the same target. Its answer may be
+    /// under way when the caller's own copy arrives; that copy then must not go to another target.
+    void recordEarlyRetransmission(const SteeredFlow &flow, TimePoint now);
+
     /// Sets whether the packets that arrive now were queued while the instance was paused. Their callers have
     /// retransmitted since, and other instances have placed those flows. A second target would answer an old
     /// opening packet when the flow is already open, and its token would misdirect the flow's packets.
@@ -85,6 +90,10 @@
     /// Returns resets for open flows at lost targets, at most `limit` per call, and removes old flows.
     std::vector<PendingReset> sweep(TimePoint now, std::size_t limit);
 
+    /// Returns where sampled new flows of a route would go now, and why. Changes no state that decisions
+    /// depend on.
+    [[nodiscard]] PlacementPreview previewPlacement(const Route &route, TimePoint now);
+
     /// Records that the routes and targets known here were complete at the given time.
     void markCurrentAt(TimePoint at);
 
@@ -197,9 +206,15 @@
     SteeringDecision makeDrop(SteeringCause cause);
     Placement place(
         const Route &route, const PacketSummary &packet, std::uint64_t avoidedTarget, TimePoint now);
+    [[nodiscard]] ChoiceRequest choiceRequest(
+        const Route &route, const std::string &service, std::uint64_t flowHash, TimePoint now);
     [[nodiscard]] bool hasEvacuatedTarget(const std::string &service);
     [[nodiscard]] std::vector<std::string> evacuatedDataCentres(
         const std::string &service, const std::vector<std::string> &silent, TimePoint now);
+    std::map<std::string, PreviewedDataCentre> previewDataCentres(
+        const Route &route, const std::string &service, const ChoiceRequest &request, TimePoint now);
+    PreviewedService previewService(
+        const Route &route, const WeightedService &service, const SampledFlows &flows, TimePoint now);
     KnownTarget *targetOf(const PacketSummary &packet, const FlowState *state);
     void trackProgress(const PacketSummary &packet, FlowState &state, KnownTarget &target, TimePoint now);
     void leaveOutColdTargets(ChoiceRequest &request, const std::string &service, TimePoint now);
--- a/lib/Settings/steeringinstancesettings.cpp
+++ b/lib/Settings/steeringinstancesettings.cpp
@@ -25,6 +25,15 @@
     return value && *value >= Least && *value <= Most ? value : std::nullopt;
 }
 
+/// A higher share would add more load to targets than lost datagrams can explain.
+constexpr double MaximumSecondTryShare = 0.2;
+
+static std::optional<double> parseSecondTryShare(std::string_view text)
+{
+    const std::optional<double> share = parseReal(text);
+    return share && *share >= 0 && *share <= MaximumSecondTryShare ? share : std::nullopt;
+}
+
 static void readSeeds(YamlMapping &mapping, SteeringInstanceSettings &settings, Mistakes &mistakes)
 {
     const YAML::Node list = mapping.take("seeds");
@@ -106,6 +115,8 @@
         settings.coldSlack);
     mapping.takeParsed("flow-memory", "a number of flows from 1024 to 16777216", false,
         parseWithin<1024, 1 << 24>, settings.flowMemory);
+    mapping.takeParsed(
+        "second-try-share", "a share from 0 to 0.2", false, parseSecondTryShare, settings.secondTryShare);
     mapping.takeParsed(
         "log-level", "a level (info, warning, error)", false, parseLogLevel, settings.logLevel);
     mapping.refuseRest();
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -149,6 +149,18 @@
     }
 }
 
+/// Returns the parameters of a choice among the targets of a service.
+ChoiceRequest SteeringEngine::choiceRequest(
+    const Route &route, const std::string &service, std::uint64_t flowHash, TimePoint now)
+{
+    const Duration patience = m_openingPatience.value();
+    const std::vector<std::string> silent = m_targets.silentDataCentres(m_settings.dataCentre, patience, now);
+    ChoiceRequest request{
+        flowHash, 0, m_settings.dataCentre, {}, patience, silent, evacuatedDataCentres(service, silent, now)};
+    addHealth(route, request);
+    return request;
+}
+
 /// Selects a target and one of its tokens. A target is skipped if all its tokens are shared; so are the
 /// targets of an overloaded data centre as long as another one has healthy targets, and cold targets without
 /// room.
@@ -157,14 +169,11 @@
 {
     const std::uint64_t flowHash = packet.flow.hash();
     const bool isNew = packet.openingCopy == 0;
-    const Duration patience = m_openingPatience.value();
-    const std::vector<std::string> silent = m_targets.silentDataCentres(m_settings.dataCentre, patience, now);
     Placement placement;
     const std::string *limitedService = nullptr;
     for (const WeightedService *const service : serviceOrder(route, flowHash)) {
-        ChoiceRequest request{flowHash, avoidedTarget, m_settings.dataCentre, {}, patience, silent,
-            evacuatedDataCentres(service->service, silent, now)};
-        addHealth(route, request);
+        ChoiceRequest request = choiceRequest(route, service->service, flowHash, now);
+        request.avoidedTarget = avoidedTarget;
         const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service->service);
         leaveOutColdTargets(request, service->service, now);
         if (!request.withoutRoom.empty()) {
@@ -221,12 +230,18 @@
     if (own == evacuated.end() || isCurrent(now)) {
         return evacuated;
     }
-    const std::vector<KnownTarget *> &targets = m_targets.targetsOfService(service);
-    const bool isCutOff = std::all_of(targets.begin(), targets.end(), [&](const KnownTarget *target) {
+    bool isCutOff = false;
+    for (const KnownTarget *const target : m_targets.targetsOfService(service)) {
         const std::string &dataCentre = target->record.dataCentre;
-        return m_targets.evacuations().isEvacuated(dataCentre) || target->evidence.isLost(now)
-            || std::find(silent.begin(), silent.end(), dataCentre) != silent.end();
-    });
+        if (m_targets.evacuations().isEvacuated(dataCentre)) {
+            continue;
+        }
+        const bool isSilent = std::find(silent.begin(), silent.end(), dataCentre) != silent.end();
+        if (!isSilent && !target->evidence.isLost(now)) {
+            return evacuated;
+        }
+        isCutOff = true;
+    }
     if (isCutOff) {
         evacuated.erase(own);
     }
--- a/unittests/Steering/evacuationtest.cpp
+++ b/unittests/Steering/evacuationtest.cpp
@@ -143,6 +143,18 @@
     EXPECT_EQ(instance.take(openingOf(2), seconds(30)).action, SteeringAction::Reset);
 }
 
+/// Guards against refusing all callers of an evacuated data centre that is cut off from the store and from
+/// the others: only its own targets can serve them. With word from the store, the evacuation holds.
+TEST_F(Evacuation, ADataCentreThatIsCutOffUsesItsOwnTargets)
+{
+    evacuate("dc-1");
+    EXPECT_EQ(dataCentreOf(instance.take(openingOf(1))), "dc-2");
+    EXPECT_EQ(instance.take(openingOf(2), milliseconds(190)).action, SteeringAction::Reset)
+        << "the other data centre does not answer, but the store does";
+    EXPECT_EQ(dataCentreOf(instance.take(openingOf(3), seconds(3))), "dc-2") << "one flow finds out";
+    EXPECT_EQ(dataCentreOf(instance.take(openingOf(4), milliseconds(190))), "dc-1");
+}
+
 TEST_F(Evacuation, OpeningsAreRefusedIfTheOtherTargetsDrain)
 {
     evacuate("dc-1");
