--- a/lib/Steering/placementpreview.cpp
+++ b/lib/Steering/placementpreview.cpp
@@ -111,7 +111,7 @@
     if (target.evidence.isLost(now)) {
         return PlacementReason::Lost;
     }
-    if (request.outliers != nullptr && request.outliers->stage(target.key, now) != EjectionStage::None) {
+    if (request.outliers != nullptr && request.outliers->stage(target.key, now) != EjectionStage::Admitted) {
         return PlacementReason::Ejected;
     }
     if (request.isLeftOut(target)) {
