--- a/lib/Steering/priorityadmission.cpp
+++ b/lib/Steering/priorityadmission.cpp
@@ -54,7 +54,7 @@
 constexpr double InitialDemandShare = 0.65;
 
 /// The delay ratio that the limit aims at. Below it, slots stay empty; far above it, some targets are full.
-constexpr double DesiredRatio = 2.4;
+constexpr double DesiredRatio = 1.8;
 constexpr double RatioGain = 0.4;
 constexpr double TurnedAwayGain = 4;
 constexpr double TolerableShare = 0.01;
