Fix what the review of the new parts found

Cause, each found by reading: (1) a datagram that the network delivered twice, or a caller's copy, was answered with a reset when a limit refused it, though the flow was open or its answer under way; (2) a single target that failed now and then kept a limit of admission in force; (3) overdue requests of routes without an objective ejected targets that no answer could readmit; (4) with over 30% of the targets failing everything, the limit did not begin; (5) early copies ignored evacuation and the limit of cold targets; (6) one wrong warm-up time in an entry limited a target until it started again; (7) an evacuation ended by a restore restarted the warm-up a tick late. Change: refused duplicates and copies are dropped; the other rules as said. The others have no test of their own.

--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -210,6 +210,7 @@
     startProbes(now);
     std::vector<PendingReset> resets = m_engine.sweep(now, MaximumResetsPerTick);
     logResets(resets, now);
+    logChanges(now); // sweep() ends evacuations that an older copy of the store lacks
     reportTargetLosses(now);
     reportTargetFailures(now);
     return resets;
--- a/lib/Steering/failingtargets.cpp
+++ b/lib/Steering/failingtargets.cpp
@@ -41,10 +41,13 @@
 FailingTargets::Spread FailingTargets::spread(TimePoint now) const
 {
     Spread found;
+    const bool areMostBroken
+        = static_cast<double>(broken()) > BrokenShare * static_cast<double>(m_targets.size());
     for (const auto &[key, outcomes] : m_targets) {
         found.targets += now - outcomes.at <= SpreadWindow ? 1 : 0;
-        const bool hasFailed = outcomes.failuresInARow < BrokenFailures && outcomes.failedAt != TimePoint{}
-            && now - outcomes.failedAt <= SpreadWindow;
+        const bool isCounted = areMostBroken || outcomes.failuresInARow < BrokenFailures;
+        const bool hasFailed
+            = isCounted && outcomes.failedAt != TimePoint{} && now - outcomes.failedAt <= SpreadWindow;
         found.failing += hasFailed ? 1 : 0;
     }
     return found;
--- a/lib/Steering/priorityadmission.cpp
+++ b/lib/Steering/priorityadmission.cpp
@@ -166,7 +166,10 @@
     }
     m_outcomes.add(1, now);
     m_turnedAway.add(isGood ? 0 : 1, now);
-    m_turnedAwayAt = isGood ? m_turnedAwayAt : now;
+    // Single targets that fail now and then do not show that capacity is short.
+    if (!isGood && m_targets.spread(now).failing >= MinimumFailingTargets) {
+        m_turnedAwayAt = now;
+    }
 }
 
 void PriorityAdmission::recordOverdue(TimePoint now)
--- a/lib/Steering/retransmissionrules.cpp
+++ b/lib/Steering/retransmissionrules.cpp
@@ -43,10 +43,13 @@
     }
     const bool isHealthy = target->presence == TargetPresence::Listed && !target->record.isDraining
         && target->evidence.verdict(now) == TargetVerdict::Healthy;
+    // A copy may open a flow that the first packet did not, so it must respect what keeps new flows away.
+    const bool isClosed = engine.targets().evacuations().isEvacuated(target->record.dataCentre)
+        || engine.coldTargets().isLimitedNow(*target, now);
     const auto load
         = engine.serviceLoads().find(std::pair(target->record.service, target->record.dataCentre));
     const bool isOverloaded = load != engine.serviceLoads().end() && load->second.isOverloaded(now);
-    return isHealthy && !isOverloaded;
+    return isHealthy && !isClosed && !isOverloaded;
 }
 
 } // namespace jasminequay
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -177,9 +177,10 @@
     }
     const auto [target, token, isFull, isLeftOut] = place(*route, packet, isCopy ? known->target : 0, now);
     if (isFull) {
-        // A copy of an opening packet that arrives late must not end the flow, which may be open.
+        // A duplicate or a copy of an opening packet must not end the flow: it is open, or its target may
+        // have answered the first one.
         const bool isOpen = known != nullptr && known->stage == FlowStage::Open && packet.openingCopy > 0;
-        if (isOpen || isPlaced) {
+        if (isOpen || isPlaced || isCopy || isLateOpening(packet, known)) {
             return makeDrop(SteeringCause::ServiceFull);
         }
         return makeReset(SteeringCause::ServiceFull, 0);
--- a/lib/Steering/steeringhealth.cpp
+++ b/lib/Steering/steeringhealth.cpp
@@ -64,7 +64,8 @@
     request.expectedTimes = &m_health.times;
     request.route = route.address;
     request.allInstances = m_allInstances;
-    request.isRepeatable = route.kind != RequestKind::NonIdempotent;
+    // Answers of routes without an objective are not judged, so such a flow would try a target for nothing.
+    request.isRepeatable = route.kind != RequestKind::NonIdempotent && route.objective > Duration::zero();
 }
 
 /// Records how long the answer to an opening took.
@@ -87,7 +88,9 @@
 
 void SteeringEngine::watchRequest(const SteeredFlow &flow, FlowState &state, TimePoint now)
 {
-    if (m_settings.features.ejectsOutliers) {
+    const Route *const route = m_routes.at(flow.service);
+    const bool isJudgedRoute = route != nullptr && route->objective > Duration::zero();
+    if (m_settings.features.ejectsOutliers && isJudgedRoute) {
         state.isOverdue = false;
         m_health.requests[flow.service].add(flow, now);
     }
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -12,6 +12,10 @@
 /// Removals of entries of unknown targets are recorded only while fewer removals than this are stored.
 constexpr std::size_t MaximumRemovals = 10000;
 
+/// A target is cold for this long at most, whatever its entry says: one wrong entry must not limit it for
+/// good.
+constexpr Duration LongestColdTime = std::chrono::minutes(10);
+
 static constexpr EnumNames<TargetPresence, 3> TargetPresenceNames{{
     {TargetPresence::Listed, "listed"},
     {TargetPresence::Lapsed, "lapsed"},
@@ -119,7 +123,8 @@
         || (m_era > 0 && target.record.revision == record.revision);
     const bool isCopied = !isNew && isKnownEntry;
     if (isNew || (!isCopied && record.revision != target.record.revision)) {
-        target.coldUntil = std::max<TimePoint>(target.coldUntil, now + record.warmUpLeft);
+        target.coldUntil
+            = std::max<TimePoint>(target.coldUntil, now + std::min(record.warmUpLeft, LongestColdTime));
     }
     target.record = record;
     target.key = key;
--- a/unittests/Steering/coldenginetest.cpp
+++ b/unittests/Steering/coldenginetest.cpp
@@ -119,6 +119,22 @@
     EXPECT_EQ(instance.take(openingOf(1, 1), milliseconds(200)).action, SteeringAction::Drop);
 }
 
+/// Guards against a reset in reply to a datagram that the network delivered twice, at any refusal for load.
+TEST_F(ColdEngine, ALateDuplicateOfAnOpeningEndsNoOpenFlow)
+{
+    put(0, seconds(60));
+    instance.open(1);
+    EXPECT_EQ(instance.take(openingOf(1), milliseconds(50)).action, SteeringAction::Drop);
+}
+
+/// Guards against a reset while the answer of the target to the first opening packet may be under way.
+TEST_F(ColdEngine, ACopyOfAnOpeningWithoutRoomIsDropped)
+{
+    put(0, seconds(60));
+    EXPECT_EQ(instance.take(openingOf(1)).action, SteeringAction::Forward);
+    EXPECT_EQ(instance.take(openingOf(1, 1), milliseconds(200)).action, SteeringAction::Drop);
+}
+
 /// Guards against the surge at the targets of a data centre when its evacuation ends.
 TEST_F(ColdEngine, AfterAnEvacuationTheWarmDataCentresBearTheRest)
 {
