Give four rules that stood twice one home each

Cause: the share of slots in a slow start, the tie-break of rendezvous hashing, the shortest retransmission interval and the cap of ejected targets were each written twice, so that one could change without its twin. Change: usableSlots() and isPreferredTie() in the directory, the interval beside the flow table, the cap in OutlierEjection. No value and no behaviour changes. Tested: ctest 17 of 17, format, the linter on the changed files.

--- a/include/jasminequay/Steering/flowmemory.h
+++ b/include/jasminequay/Steering/flowmemory.h
@@ -13,6 +13,10 @@
 namespace jasminequay
 {
 
+/// A caller retransmits data and opening packets after 200 ms at the earliest; anything that arrives again
+/// sooner is a duplicated datagram.
+constexpr Duration MinimumRetransmissionInterval = std::chrono::milliseconds(120);
+
 /// The two ends of a flow, as its caller sees them.
 struct SteeredFlow {
     Endpoint caller;
--- a/include/jasminequay/Steering/outlierejection.h
+++ b/include/jasminequay/Steering/outlierejection.h
@@ -59,6 +59,9 @@
 class OutlierEjection
 {
 public:
+    /// The maximum share of a service's targets that are ejected or on probation.
+    static constexpr double MaximumEjectedShare = 0.4;
+
     /// Records that a request that was sent at `requestedAt` was answered well and in time.
     void recordSuccess(const OutlierCandidate &target, TimePoint requestedAt, TimePoint now);
 
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -52,6 +52,12 @@
     std::uint32_t endedFlows = 0; ///< Those whose callers have closed them.
 };
 
+/// Returns the slots of a target that count for its load: fewer while it is in its slow start.
+double usableSlots(const KnownTarget &target, bool isInSlowStart);
+
+/// Returns whether a flow prefers one of two equally good targets (rendezvous hashing).
+bool isPreferredTie(const KnownTarget &left, const KnownTarget &right, std::uint64_t flowHash);
+
 /// The time limits of the directory.
 struct DirectoryTiming {
     /// How long a missing entry may take to return: the two seconds after an outage of the store, and some
--- a/lib/Steering/expectedtime.cpp
+++ b/lib/Steering/expectedtime.cpp
@@ -32,9 +32,6 @@
 /// The part of a request that an open flow without one counts for.
 constexpr double IdleFlowWeight = 0.1;
 
-/// The share of its slots that counts while a target is in its slow start.
-constexpr double WarmUpSlotShare = 0.6;
-
 /// The weight of one answer in the recent time of a data centre.
 constexpr double DataCentreAnswerWeight = 0.1;
 
@@ -151,16 +148,10 @@
 
 static double loadOf(const KnownTarget &target, TimePoint now)
 {
-    const double slots = std::max<std::uint32_t>(target.record.slots, 1);
-    const double usableSlots = now < target.warmUpEndsAt ? slots * WarmUpSlotShare : slots;
     const double requests = target.pace.inFlight();
     const double flows = target.openFlows - std::min(target.endedFlows, target.openFlows);
-    return (IdleFlowWeight * (flows + 1) + (1 - IdleFlowWeight) * requests) / usableSlots;
-}
-
-static bool isPreferredTie(const KnownTarget &left, const KnownTarget &right, std::uint64_t flowHash)
-{
-    return hashWords(flowHash, left.key) > hashWords(flowHash, right.key);
+    return (IdleFlowWeight * (flows + 1) + (1 - IdleFlowWeight) * requests)
+        / usableSlots(target, now < target.warmUpEndsAt);
 }
 
 /// Returns the best target of each data centre. The load decides only within a data centre: single requests
--- a/lib/Steering/outlierejection.cpp
+++ b/lib/Steering/outlierejection.cpp
@@ -38,9 +38,6 @@
 /// The number of failures below which the share is not significant.
 constexpr std::uint32_t SignificantFailures = 6;
 
-/// The maximum share of a service's targets that are ejected or on probation.
-constexpr double MaximumEjectedShare = 0.4;
-
 constexpr Duration FirstPeriod = seconds(1);
 constexpr Duration LongestPeriod = seconds(8);
 
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -5,10 +5,6 @@
 
 using std::chrono::milliseconds;
 
-/// A caller retransmits data after 200 ms at the earliest; anything that arrives again sooner is a duplicated
-/// datagram.
-constexpr Duration MinimumRetransmissionInterval = milliseconds(120);
-
 /// The answer to an opening packet that was sent once more has reached the caller after this time.
 constexpr Duration EarlyAnswerTime = milliseconds(40);
 
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -7,9 +7,6 @@
 
 using std::chrono::milliseconds;
 
-/// A caller retransmits its opening packet after 200 ms at the earliest.
-constexpr Duration DuplicateInterval = milliseconds(120);
-
 /// At a working target some flow makes progress within this time; requests at any other target may hang.
 constexpr Duration ProgressWindow = milliseconds(300);
 
@@ -130,7 +127,7 @@
 /// arrives at once is surely a duplicate.
 bool SteeringEngine::needsRoom(const FlowState &state, const KnownTarget &target, TimePoint now)
 {
-    return now - state.seenAt >= DuplicateInterval && m_coldTargets.isLimitedNow(target, now);
+    return now - state.seenAt >= MinimumRetransmissionInterval && m_coldTargets.isLimitedNow(target, now);
 }
 
 /// Leaves the cold targets without room out of a choice, and counts the opening if it would have gone to one.
--- a/lib/Steering/targetchoice.cpp
+++ b/lib/Steering/targetchoice.cpp
@@ -1,7 +1,5 @@
 #include "jasminequay/Steering/targetchoice.h"
 
-#include "jasminequay/Support/hash.h"
-
 #include <algorithm>
 
 namespace jasminequay
@@ -15,9 +13,6 @@
 /// vary by as much.
 constexpr double FastResponseShare = 0.3;
 
-/// The share of its slots that counts while a target is in its slow start.
-constexpr double WarmUpSlotShare = 0.6;
-
 /// The share of suspect targets above which suspicion is ignored for a service (the panic threshold of
 /// Envoy).
 constexpr double PanicShare = 0.5;
@@ -25,10 +20,6 @@
 /// The share of lapsed entries above which the store is assumed to have failed rather than the targets.
 constexpr double MassLapseShare = 0.34;
 
-/// The share of usable targets above which ejection is ignored. The cap of OutlierEjection counts all targets
-/// of the service, of which many may be draining or lost.
-constexpr double MaximumEjectedShare = 0.4;
-
 /// Ranks targets from the most to the least preferred.
 enum class TargetRank : std::uint8_t {
     Trial,
@@ -100,7 +91,8 @@
                                                                                   : TargetRank::Ejected;
 }
 
-/// Returns whether so many targets are ejected that ejection is ignored.
+/// Returns whether so many targets are ejected that ejection is ignored. The cap of OutlierEjection counts
+/// all targets of the service, of which many may be draining or lost; here only usable ones count.
 static bool isEjectionIgnored(
     const std::vector<KnownTarget *> &targets, const ChoiceRequest &request, TimePoint now)
 {
@@ -114,15 +106,14 @@
         usable += isUsable ? 1 : 0;
         ejected += isUsable && request.outliers->stage(target->key, now) != EjectionStage::Admitted ? 1 : 0;
     }
-    return static_cast<double>(ejected) > MaximumEjectedShare * static_cast<double>(usable);
+    return static_cast<double>(ejected) > OutlierEjection::MaximumEjectedShare * static_cast<double>(usable);
 }
 
 static double costOf(const KnownTarget &target, const ChoiceRequest &request, TimePoint now)
 {
     // Where the flows of cold targets are limited, the limit alone protects them.
     const bool isCold = now < target.warmUpEndsAt && !request.areColdLimited;
-    const double slots = std::max<std::uint32_t>(target.record.slots, 1) * (isCold ? WarmUpSlotShare : 1);
-    const double load = (target.openFlows + 1) / slots;
+    const double load = (target.openFlows + 1) / usableSlots(target, isCold);
     // Squared, so that a data centre whose responses take twice as long as another one's spills over to it.
     const double responseShare
         = std::max(target.pace.objectiveShare(now), FastResponseShare) / FastResponseShare;
@@ -148,11 +139,6 @@
         candidates, {request.route, request.dataCentre, request.flowHash, request.allInstances}, now);
 }
 
-static std::uint64_t tieBreaker(const KnownTarget &target, std::uint64_t flowHash)
-{
-    return hashWords(flowHash, target.key);
-}
-
 KnownTarget *chooseTarget(
     const std::vector<KnownTarget *> &targets, const ChoiceRequest &request, TimePoint now)
 {
@@ -190,7 +176,7 @@
         if (leftCost != rightCost) {
             return leftCost < rightCost;
         }
-        return tieBreaker(*left.second, request.flowHash) > tieBreaker(*right.second, request.flowHash);
+        return isPreferredTie(*left.second, *right.second, request.flowHash);
     };
     const auto best = std::min_element(ranked.begin(), ranked.end(), isBetter);
     if (best == ranked.end() || best->first == TargetRank::Draining) {
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -1,6 +1,7 @@
 #include "jasminequay/Steering/targetdirectory.h"
 
 #include "jasminequay/Support/enumnames.h"
+#include "jasminequay/Support/hash.h"
 
 #include <algorithm>
 #include <cassert>
@@ -12,6 +13,9 @@
 /// Removals of entries of unknown targets are recorded only while fewer removals than this are stored.
 constexpr std::size_t MaximumRemovals = 10000;
 
+/// The share of its slots that counts while a target is in its slow start.
+constexpr double SlowStartSlotShare = 0.6;
+
 /// A target is cold for this long at most, whatever its entry says: one wrong entry must not limit it for
 /// good.
 constexpr Duration LongestColdTime = std::chrono::minutes(10);
@@ -27,6 +31,16 @@
     return nameIn(TargetPresenceNames, presence);
 }
 
+double usableSlots(const KnownTarget &target, bool isInSlowStart)
+{
+    return std::max<std::uint32_t>(target.record.slots, 1) * (isInSlowStart ? SlowStartSlotShare : 1);
+}
+
+bool isPreferredTie(const KnownTarget &left, const KnownTarget &right, std::uint64_t flowHash)
+{
+    return hashWords(flowHash, left.key) > hashWords(flowHash, right.key);
+}
+
 TargetDirectory::TargetDirectory(DirectoryTiming timing)
     : m_timing(timing)
 {
