--- a/review/standin-2/server.cpp
+++ b/review/standin-2/server.cpp
@@ -118,19 +118,38 @@
         }
     }
     for (auto &[key, flow] : m_flows) {
-        if (flow.answerAt != Time{} && now >= flow.answerAt) {
-            flow.answerAt = Time{};
-            flow.unsent = std::string(AnswerSize, 'x');
-            flow.repeats = 0;
-            sendAnswer(flow, now);
-        } else if (!flow.unsent.empty() && flow.repeats < MaximumRepeats
-            && now - flow.sentAt >= repeatInterval(flow.repeats)) {
-            ++flow.repeats;
-            sendAnswer(flow, now);
+        repeat(flow, now);
+    }
+    // A server gives up a flow whose handshake does not end.
+    std::erase_if(m_flows,
+        [](const auto &item) { return !item.second.isOpen && item.second.repeats > MaximumRepeats; });
+}
+
+/// Sends what is due: an answer, or again what the client has not acknowledged.
+void Server::repeat(Flow &flow, Time now)
+{
+    const bool isDue = now - flow.sentAt >= repeatInterval(flow.repeats);
+    if (!flow.isOpen) {
+        if (isDue && ++flow.repeats <= MaximumRepeats) {
+            answerOpening(flow, now);
         }
+    } else if (flow.answerAt != Time{} && now >= flow.answerAt) {
+        flow.answerAt = Time{};
+        flow.unsent = std::string(AnswerSize, 'x');
+        flow.repeats = 0;
+        sendAnswer(flow, now);
+    } else if (!flow.unsent.empty() && flow.repeats < MaximumRepeats && isDue) {
+        ++flow.repeats;
+        sendAnswer(flow, now);
     }
 }
 
+void Server::answerOpening(Flow &flow, Time now)
+{
+    flow.sentAt = now;
+    reply(flow, FlagOpening | FlagAcknowledging, flow.firstNumber, {});
+}
+
 void Server::take(const Packet &packet)
 {
     const std::pair<End, End> key{packet.source, packet.destination};
@@ -149,7 +168,11 @@
             flow.acknowledged = flow.firstNumber + 1;
         }
         flow.echo = packet.echo;
-        reply(flow, FlagOpening | FlagAcknowledging, flow.firstNumber, {});
+        if (isNew && m_world.losesAnswer()) {
+            flow.sentAt = Clock::now();
+            return;
+        }
+        answerOpening(flow, Clock::now());
         return;
     }
     const auto found = m_flows.find(key);
@@ -165,6 +188,7 @@
 
 void Server::takeLater(Flow &flow, const Packet &packet)
 {
+    flow.repeats = flow.isOpen ? flow.repeats : 0;
     flow.isOpen = true;
     flow.echo = packet.echo;
     const auto further = static_cast<std::int32_t>(packet.acknowledged - flow.acknowledged);
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -328,12 +328,6 @@
 /// Judges a reset that ended an open flow of a client.
 void World::onReset(End client, End route, const Packet &packet, End from)
 {
-    if (!packet.isOfSystem) {
-        ++counts.resetByServer;
-        note("the server at " + format(from) + " resets the flow of " + format(client));
-        return;
-    }
-    ++counts.resetBySystem;
     const Time now = Clock::now();
     const auto isCalm = [now](Time disturbedUntil) {
         return now - disturbedUntil >= Stable;
@@ -342,6 +336,11 @@
         = std::find_if(m_servers.begin(), m_servers.end(), [&](const std::unique_ptr<Server> &server) {
               return server->isAlive() && server->holds(client, route);
           });
+    if (!packet.isOfSystem) {
+        judgeResetOfServer(client, holder == m_servers.end() ? nullptr : holder->get(), from);
+        return;
+    }
+    ++counts.resetBySystem;
     const auto sender = std::find_if(m_instances.begin(), m_instances.end(),
         [&](const Instance &instance) { return instance.address == from.address; });
     const bool isHeld = holder != m_servers.end();
@@ -354,6 +353,43 @@
         + (isHeld ? " while server " + (*holder)->id() + " holds it" : ", which no living server holds"));
 }
 
+/// Judges a reset of an open flow by a server. It is allowed if the flow is open at this server.
+void World::judgeResetOfServer(End client, const Server *holder, End from)
+{
+    ++counts.resetByServer;
+    const Time now = Clock::now();
+    const auto sender
+        = std::find_if(m_servers.begin(), m_servers.end(), [&](const std::unique_ptr<Server> &server) {
+              return server->isAlive() && server->address() == from;
+          });
+    const auto isCalm = [now](const Server &server) {
+        return now - server.disturbedUntil() >= Stable;
+    };
+    const bool isBroken = holder != nullptr && sender != m_servers.end() && sender->get() != holder
+        && isCalm(*holder) && isCalm(**sender) && now - m_storeDisturbedUntil >= Stable;
+    counts.flowBroken += isBroken ? 1 : 0;
+    note((isBroken ? "FLOW broken: server " : "not counted: server ")
+        + (sender == m_servers.end() ? format(from) : (*sender)->id()) + " resets the open flow of "
+        + format(client)
+        + (holder == nullptr ? ", which no living server holds" : " that server " + holder->id() + " holds"));
+}
+
+void World::loseAnswers(unsigned count)
+{
+    m_answersToLose = count;
+    note("the next " + std::to_string(count) + " first answers to opening packets get lost");
+}
+
+bool World::losesAnswer()
+{
+    if (m_answersToLose == 0) {
+        return false;
+    }
+    --m_answersToLose;
+    note("a server's answer to an opening packet is lost");
+    return true;
+}
+
 void World::turn()
 {
     std::vector<pollfd> descriptors;
@@ -368,12 +404,13 @@
     const Time now = Clock::now();
     heartbeats(now);
     m_store.serve(now);
-    for (const std::unique_ptr<Server> &server : m_servers) {
-        server->serve(now);
-    }
+    // A client's copy is due before the server repeats its answer, which it sent later.
     for (const std::unique_ptr<Client> &client : m_clients) {
         client->serve(now);
     }
+    for (const std::unique_ptr<Server> &server : m_servers) {
+        server->serve(now);
+    }
     tickInstances(now);
     if (now - m_readinessPolledAt >= ReadinessInterval) {
         m_readinessPolledAt = now;
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -88,6 +88,8 @@
     };
 
     void take(const Packet &packet);
+    void answerOpening(Flow &flow, Time now);
+    void repeat(Flow &flow, Time now);
     void takeLater(Flow &flow, const Packet &packet);
     void sendAnswer(Flow &flow, Time now);
     void reply(const Flow &flow, std::uint8_t flags, std::uint32_t sequence, const std::string &data);
@@ -169,7 +171,7 @@
     std::uint64_t runs = 0;
     std::uint64_t refused = 0; ///< Flows that were reset before they opened.
     std::uint64_t resetBySystem = 0; ///< Open flows.
-    std::uint64_t resetByServer = 0; ///< Open flows.
+    std::uint64_t resetByServer = 0; ///< Open flows, by any server.
     std::uint64_t lost = 0; ///< Requests that may run once, broken off.
     std::uint64_t timedOut = 0;
     std::uint64_t flowBroken = 0;
@@ -196,6 +198,9 @@
     void disturbStore(const std::string &what);
     void startInstances();
     void restartInstance(std::size_t number);
+    /// Loses the next answers to opening packets, one of each server and client at most.
+    void loseAnswers(unsigned count);
+    [[nodiscard]] bool losesAnswer();
     /// Starts clients of the service "desk"; every second one sends requests that may run once.
     void startClients(std::size_t count);
     void run(double seconds);
@@ -204,6 +209,11 @@
 
     void sendToSystem(int descriptor, const Packet &packet);
     void onReset(End client, End route, const Packet &packet, End from);
+
+    /// How long clients keep a flow at least, and how long they pause between requests.
+    std::chrono::milliseconds shortestFlow{4000};
+    std::chrono::milliseconds pause{150};
+    std::chrono::milliseconds pauseSpread{0};
     [[nodiscard]] std::uint16_t packetPort() const
     {
         return m_firstPort;
@@ -225,6 +235,7 @@
     void heartbeats(Time now);
     void tickInstances(Time now);
     void pollReadiness();
+    void judgeResetOfServer(End client, const Server *holder, End from);
     void turn();
 
     std::string m_program;
@@ -240,6 +251,7 @@
     std::vector<std::unique_ptr<Client>> m_clients;
     std::array<Instance, InstanceCount> m_instances;
     std::map<std::string, Time> m_expiries; ///< When the entry of a crashed server is removed.
+    unsigned m_answersToLose = 0;
     Time m_readinessPolledAt;
     bool m_hasEndedItself = false;
 };
