--- a/review/standin-2/client.cpp
+++ b/review/standin-2/client.cpp
@@ -16,9 +16,9 @@
 constexpr auto FirstRepeat = milliseconds(200);
 constexpr auto LongestRepeat = milliseconds(1600);
 constexpr auto Deadline = milliseconds(2000);
+constexpr auto ShortestFlow = milliseconds(4000);
 constexpr unsigned FlowSpreadMs = 8000;
-/// The pause after a failure.
-constexpr auto FailurePause = milliseconds(150);
+constexpr auto Pause = milliseconds(150);
 constexpr std::size_t AnswerSize = 4000;
 
 Client::Client(World &world, std::uint32_t address, End route, bool mayRepeat)
@@ -62,7 +62,7 @@
     m_copies = 0;
     m_request.clear();
     m_openedAt = now;
-    m_closeAt = now + m_world.shortestFlow + milliseconds(m_world.random()() % FlowSpreadMs);
+    m_closeAt = now + ShortestFlow + milliseconds(m_world.random()() % FlowSpreadMs);
     send(FlagOpening, m_sent, m_copies, {});
 }
 
@@ -91,7 +91,7 @@
     }
     m_stage = Stage::Closed;
     m_request.clear();
-    m_nextAt = now + FailurePause;
+    m_nextAt = now + Pause;
 }
 
 void Client::take(const Packet &packet, End from, Time now)
@@ -159,8 +159,7 @@
     }
     ++m_world.counts.answered;
     m_request.clear();
-    const auto spread = static_cast<std::uint64_t>(m_world.pauseSpread.count());
-    m_nextAt = now + m_world.pause + milliseconds(m_world.random()() % (spread + 1));
+    m_nextAt = now + Pause;
     if (now >= m_closeAt) {
         send(FlagEnd | FlagAcknowledging, m_sent, m_received, {});
         m_stage = Stage::Closed;
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -103,29 +103,6 @@
     return world.verdict();
 }
 
-/// The network loses the answers of servers to some opening packets, and one instance is restarted a little
-/// later.
-static int playLostAnswers(World &world, bool hasTrouble)
-{
-    world.addServer("i-5a01c2d3", "desk");
-    world.addServer("i-5a01c2d4", "desk");
-    world.addServer("i-5a01c2d5", "desk");
-    world.publishServers();
-    world.startInstances();
-    world.run(6);
-    world.shortestFlow = std::chrono::seconds(30);
-    world.pause = std::chrono::milliseconds(1000);
-    world.pauseSpread = std::chrono::milliseconds(1500);
-    if (hasTrouble) {
-        world.loseAnswers(6);
-    }
-    world.startClients(24);
-    world.run(3);
-    world.restartInstance(1);
-    world.run(12);
-    return world.verdict();
-}
-
 static int play(const std::string &name, World &world, bool hasTrouble)
 {
     if (name == "copied-entries") {
@@ -137,9 +114,6 @@
     if (name == "late-write-takes-the-address") {
         return playLateWriteTakesTheAddress(world, hasTrouble);
     }
-    if (name == "lost-answers") {
-        return playLostAnswers(world, hasTrouble);
-    }
     return ExitCannotRun;
 }
 
--- a/review/standin-2/server.cpp
+++ b/review/standin-2/server.cpp
@@ -168,10 +168,6 @@
             flow.acknowledged = flow.firstNumber + 1;
         }
         flow.echo = packet.echo;
-        if (isNew && m_world.losesAnswer()) {
-            flow.sentAt = Clock::now();
-            return;
-        }
         answerOpening(flow, Clock::now());
         return;
     }
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -374,22 +374,6 @@
         + (holder == nullptr ? ", which no living server holds" : " that server " + holder->id() + " holds"));
 }
 
-void World::loseAnswers(unsigned count)
-{
-    m_answersToLose = count;
-    note("the next " + std::to_string(count) + " first answers to opening packets get lost");
-}
-
-bool World::losesAnswer()
-{
-    if (m_answersToLose == 0) {
-        return false;
-    }
-    --m_answersToLose;
-    note("a server's answer to an opening packet is lost");
-    return true;
-}
-
 void World::turn()
 {
     std::vector<pollfd> descriptors;
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -198,9 +198,6 @@
     void disturbStore(const std::string &what);
     void startInstances();
     void restartInstance(std::size_t number);
-    /// Loses the next answers to opening packets, one of each server and client at most.
-    void loseAnswers(unsigned count);
-    [[nodiscard]] bool losesAnswer();
     /// Starts clients of the service "desk"; every second one sends requests that may run once.
     void startClients(std::size_t count);
     void run(double seconds);
@@ -210,10 +207,6 @@
     void sendToSystem(int descriptor, const Packet &packet);
     void onReset(End client, End route, const Packet &packet, End from);
 
-    /// How long clients keep a flow at least, and how long they pause between requests.
-    std::chrono::milliseconds shortestFlow{4000};
-    std::chrono::milliseconds pause{150};
-    std::chrono::milliseconds pauseSpread{0};
     [[nodiscard]] std::uint16_t packetPort() const
     {
         return m_firstPort;
@@ -251,7 +244,6 @@
     std::vector<std::unique_ptr<Client>> m_clients;
     std::array<Instance, InstanceCount> m_instances;
     std::map<std::string, Time> m_expiries; ///< When the entry of a crashed server is removed.
-    unsigned m_answersToLose = 0;
     Time m_readinessPolledAt;
     bool m_hasEndedItself = false;
 };
