Logs tell why a target was taken for ended

Cause: a target counts as ended for five reasons, but the logs named only the reset (target-gone). Change: the reason is kept with the target (TargetEnd); new events target-ended (why, start, revision, flows) and target-returned. What is known of one target moves into a header of its own.

--- a/include/jasminequay/Node/steeringcontrol.h
+++ b/include/jasminequay/Node/steeringcontrol.h
@@ -8,6 +8,7 @@
 #include "jasminequay/Node/loadwatch.h"
 #include "jasminequay/Node/outlierlog.h"
 #include "jasminequay/Node/peerchannel.h"
+#include "jasminequay/Node/presencewatch.h"
 #include "jasminequay/Node/steeringpath.h"
 #include "jasminequay/Platform/reachabilityprobe.h"
 #include "jasminequay/Settings/steeringinstancesettings.h"
@@ -122,6 +123,7 @@
     PeerChannel m_peers;
     LoadWatch m_loadWatch;
     EvacuationWatch m_evacuationWatch;
+    PresenceWatch m_presenceWatch;
     OutlierLog m_outlierLog;
     ColdWatch m_coldWatch;
     StoreCounters m_storeCounters;
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -3,11 +3,8 @@
 
 #include "jasminequay/Steering/directoryupdate.h"
 #include "jasminequay/Steering/evacuationtable.h"
+#include "jasminequay/Steering/knowntarget.h"
 #include "jasminequay/Steering/openingwatch.h"
-#include "jasminequay/Steering/recenttime.h"
-#include "jasminequay/Steering/targetevidence.h"
-#include "jasminequay/Steering/targetpace.h"
-#include "jasminequay/Steering/targetrecord.h"
 
 #include <algorithm>
 #include <functional>
@@ -21,43 +18,6 @@
 namespace jasminequay
 {
 
-/// Whether a known target is published.
-enum class TargetPresence : std::uint8_t {
-    Listed,
-    Lapsed, ///< Its entry is missing, but may return: the store may have lost its connection to the target.
-    Gone, ///< It has ended. Kept so that its flows are reset.
-};
-
-std::string_view targetPresenceName(TargetPresence presence);
-
-/// A target and what this instance knows about it.
-struct KnownTarget {
-    TargetRecord record;
-    std::uint64_t key = 0;
-    TargetPresence presence = TargetPresence::Listed;
-    /// Whether a configuration in force has named its service. Until then its entry may be that of another
-    /// program, and says nothing about other targets.
-    bool isAssigned = false;
-    TimePoint presenceSince; ///< When the presence last changed.
-    TimePoint drainingSince; ///< When it was first seen draining, if it is draining.
-    TimePoint warmUpEndsAt; ///< When its slow start ends.
-    /// Until when the limit of its service for cold targets applies. Unlike `warmUpEndsAt`, it never becomes
-    /// earlier, and does not become later when the same entry is read again.
-    TimePoint coldUntil;
-    TargetEvidence evidence;
-    TargetPace pace;
-    RecentTime recentTime;
-    OpeningWatch openings;
-    std::uint32_t openFlows = 0; ///< The flows at this target in the flow table of this instance.
-    std::uint32_t endedFlows = 0; ///< Those whose callers have closed them.
-};
-
-/// Returns the slots of a target that count for its load: fewer while it is in its slow start.
-double usableSlots(const KnownTarget &target, bool isInSlowStart);
-
-/// Returns whether a flow prefers one of two equally good targets (rendezvous hashing).
-bool isPreferredTie(const KnownTarget &left, const KnownTarget &right, std::uint64_t flowHash);
-
 /// The time limits of the directory.
 struct DirectoryTiming {
     /// How long a missing entry may take to return: the two seconds after an outage of the store, and some
@@ -205,7 +165,7 @@
     /// Drops the held records up to a revision that a complete list at that revision lacks.
     void dropHeldRecords(const std::set<std::string> &listed, StoreRevision revision);
     void setPresence(KnownTarget &target, TargetPresence presence, TimePoint now);
-    void markGone(KnownTarget &target, TimePoint now);
+    void markGone(KnownTarget &target, TargetEnd end, TimePoint now);
     void eraseTarget(std::map<std::uint64_t, KnownTarget>::iterator position);
     void lapse(KnownTarget &target, TimePoint now);
     [[nodiscard]] bool isOutdated(const TargetRecord &record);
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -152,6 +152,7 @@
             .with("targets", m_engine.targets().listedCount())
             .with("age_ms", directoryAgeText(now));
     }
+    m_presenceWatch.logTransitions(m_engine.targets());
     for (const std::string &dataCentre : m_evacuationWatch.logTransitions(m_engine.targets())) {
         m_engine.restartWarmUp(dataCentre, now);
     }
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -1,8 +1,5 @@
 #include "jasminequay/Steering/targetdirectory.h"
 
-#include "jasminequay/Support/enumnames.h"
-#include "jasminequay/Support/hash.h"
-
 #include <algorithm>
 #include <cassert>
 #include <set>
@@ -13,34 +10,10 @@
 /// Removals of entries of unknown targets are recorded only while fewer removals than this are stored.
 constexpr std::size_t MaximumRemovals = 10000;
 
-/// The share of its slots that counts while a target is in its slow start.
-constexpr double SlowStartSlotShare = 0.6;
-
 /// A target is cold for this long at most, whatever its entry says: one wrong entry must not limit it for
 /// good.
 constexpr Duration LongestColdTime = std::chrono::minutes(10);
 
-static constexpr EnumNames<TargetPresence, 3> TargetPresenceNames{{
-    {TargetPresence::Listed, "listed"},
-    {TargetPresence::Lapsed, "lapsed"},
-    {TargetPresence::Gone, "gone"},
-}};
-
-std::string_view targetPresenceName(TargetPresence presence)
-{
-    return nameIn(TargetPresenceNames, presence);
-}
-
-double usableSlots(const KnownTarget &target, bool isInSlowStart)
-{
-    return std::max<std::uint32_t>(target.record.slots, 1) * (isInSlowStart ? SlowStartSlotShare : 1);
-}
-
-bool isPreferredTie(const KnownTarget &left, const KnownTarget &right, std::uint64_t flowHash)
-{
-    return hashWords(flowHash, left.key) > hashWords(flowHash, right.key);
-}
-
 TargetDirectory::TargetDirectory(DirectoryTiming timing)
     : m_timing(timing)
 {
@@ -101,7 +74,7 @@
         return;
     }
     if (isNamed || !previous->isAssigned) {
-        markGone(*previous, now);
+        markGone(*previous, TargetEnd::LaterStart, now);
     } else {
         lapse(*previous, now);
     }
@@ -171,18 +144,19 @@
     const bool isNewer = other == nullptr || other->record.address != address
         || other->record.revision < m_targets.at(key).record.revision;
     if (!isNewer) {
-        markGone(m_targets.at(key), now);
+        markGone(m_targets.at(key), TargetEnd::AddressTaken, now);
         return;
     }
     position->second = key;
     if (other != nullptr && other->record.address == address) {
-        markGone(*other, now);
+        markGone(*other, TargetEnd::AddressTaken, now);
     }
 }
 
 void TargetDirectory::setPresence(KnownTarget &target, TargetPresence presence, TimePoint now)
 {
     target.presence = presence;
+    target.end = TargetEnd::None;
     target.presenceSince = now;
     if (presence != TargetPresence::Listed) {
         m_watched.insert(target.key);
@@ -196,10 +170,11 @@
     }
 }
 
-void TargetDirectory::markGone(KnownTarget &target, TimePoint now)
+void TargetDirectory::markGone(KnownTarget &target, TargetEnd end, TimePoint now)
 {
     if (target.presence != TargetPresence::Gone) {
         setPresence(target, TargetPresence::Gone, now);
+        target.end = end;
         m_areIndexesStale = true;
     }
 }
@@ -255,7 +230,7 @@
 void TargetDirectory::markReplaced(std::uint64_t key, TimePoint now)
 {
     if (KnownTarget *const target = find(key)) {
-        markGone(*target, now);
+        markGone(*target, TargetEnd::AnsweredByOther, now);
     }
 }
 
@@ -269,8 +244,7 @@
     KnownTarget &target = position->second;
     target.record = record;
     target.key = key;
-    setPresence(target, TargetPresence::Gone, now);
-    m_areIndexesStale = true;
+    markGone(target, TargetEnd::PeerReport, now);
 }
 
 void TargetDirectory::expire(TimePoint now, const std::function<void(std::uint64_t)> &forget)
@@ -283,7 +257,7 @@
         assert(found != m_targets.end() && "a watched target must be known");
         KnownTarget &target = found->second;
         if (target.presence == TargetPresence::Lapsed && now - target.presenceSince >= m_timing.lapseGrace) {
-            markGone(target, now);
+            markGone(target, TargetEnd::EntryMissing, now);
         }
         const bool isForgotten = target.presence == TargetPresence::Gone
             && now - target.presenceSince >= m_timing.tombstoneLifetime;
