--- a/include/jasminequay/Steering/knowntarget.h
+++ b/include/jasminequay/Steering/knowntarget.h
@@ -27,6 +27,7 @@
     None, ///< It has not ended.
     EntryMissing, ///< Its entry was missing for longer than the grace period.
     LaterStart, ///< Its process has started again under the same id.
+    EarlierStart, ///< An entry of an earlier start has stood in the place of its own for too long.
     AddressTaken, ///< Another target has published its address.
     AnsweredByOther, ///< Another process answered at its address.
     PeerReport, ///< A peer keeps it as ended.
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -23,6 +23,10 @@
     /// How long a missing entry may take to return: the two seconds after an outage of the store, and some
     /// delay.
     Duration lapseGrace = std::chrono::milliseconds(2300);
+    /// How long an entry that contradicts a target must stand before it counts. A target that has ended may
+    /// have several writes that the store does seconds late; the last of them is removed after three
+    /// heartbeat intervals.
+    Duration rivalGrace = std::chrono::seconds(10);
     /// How long an ended target is kept: the maximum lifetime of a flow.
     Duration tombstoneLifetime = std::chrono::seconds(60);
 };
@@ -36,10 +40,11 @@
     /// Sets the services that the configuration names. Targets that are already assigned remain so.
     void setServices(std::set<std::string, std::less<>> services, TimePoint now);
 
-    /// Adds or updates a published entry. An entry of a new era that is older than what is known of its
-    /// target takes effect after the grace period only, unless it is written again. An entry of a service
-    /// that is not named does not affect other targets, except that a target whose own entry it replaces is
-    /// no longer listed.
+    /// Adds or updates a published entry. An entry of an earlier start than the one that is known under its
+    /// name takes effect only if it stands for longer than a late write can. An entry of a new era that is
+    /// older than what is known of its target takes effect after the grace period only, unless it is written
+    /// again. An entry of a service that is not named does not affect other targets, except that a target
+    /// whose own entry it replaces is no longer listed.
     void put(const TargetRecord &record, TimePoint now);
 
     /// Records the removal of an entry at store revision `revision`.
@@ -57,9 +62,11 @@
     /// Marks a target as ended because another process answers at its address.
     void markReplaced(std::uint64_t key, TimePoint now);
 
-    /// Marks lapsed targets as ended after the grace period, and erases targets whose tombstone lifetime is
-    /// over. `forget` is called with the key of each erased target.
-    void expire(TimePoint now, const std::function<void(std::uint64_t)> &forget);
+    /// Marks lapsed targets as ended after the grace period, applies the held entries that still stood at
+    /// `provedAt`, the latest time up to which all changes are known, and erases targets whose tombstone
+    /// lifetime is over. `forget` is called with the key of each erased target.
+    void expire(TimePoint now, const std::function<void(std::uint64_t)> &forget,
+        TimePoint provedAt = TimePoint::max());
 
     /// Returns the target with a token; null if no target or more than one has it.
     [[nodiscard]] KnownTarget *findByToken(SteeringToken token);
@@ -100,10 +107,16 @@
     /// Returns the removals of entries after a revision.
     [[nodiscard]] std::vector<TargetRemoval> removalsAfter(std::uint64_t revision) const;
 
-    /// Returns the records after a revision that are held back: after a restore of the store they are older
-    /// than what is known of their targets, and take effect only if they are not replaced in time.
+    /// Returns the records after a revision that are held back: they contradict what is known of their
+    /// targets, and take effect only if they are not replaced in time.
     [[nodiscard]] std::vector<TargetRecord> heldRecordsAfter(StoreRevision revision) const;
 
+    /// Returns the number of entries that do not count yet because they contradict what is known.
+    [[nodiscard]] std::size_t heldCount() const
+    {
+        return m_held.size();
+    }
+
     /// Returns the revision after which all removals are known. A peer with an older revision must receive
     /// the complete list, as the entries removed since cannot be enumerated.
     [[nodiscard]] std::uint64_t removalsKnownSince() const
@@ -152,16 +165,21 @@
     }
 
 private:
-    /// A record of a new era that is older than what is known of its target.
+    /// An entry that contradicts what is known of its target, and does not count yet.
     struct HeldRecord {
         TargetRecord record;
         TimePoint until; ///< When it is applied unless a newer one comes.
     };
 
     void apply(const TargetRecord &record, TimePoint now);
-    [[nodiscard]] bool isHeld(const TargetRecord &record, TimePoint now);
+    [[nodiscard]] KnownTarget *targetNamed(const std::string &name);
+    [[nodiscard]] bool startsLater(const TargetRecord &record, const KnownTarget &known);
+    [[nodiscard]] bool isOfEarlierStart(const TargetRecord &record);
     [[nodiscard]] bool isFromOlderCopy(const TargetRecord &record);
-    void applyHeldRecords(TimePoint now);
+    [[nodiscard]] Duration holdTime(const TargetRecord &record, TimePoint now);
+    void hold(const TargetRecord &record, Duration grace, TimePoint now);
+    void raiseEra(const TargetRecord &record, TimePoint now);
+    void applyHeldRecords(TimePoint provedAt, TimePoint now);
     /// Drops the held records up to a revision that a complete list at that revision lacks.
     void dropHeldRecords(const std::set<std::string> &listed, StoreRevision revision);
     void setPresence(KnownTarget &target, TargetPresence presence, TimePoint now);
--- a/lib/Node/steeringmetrics.cpp
+++ b/lib/Node/steeringmetrics.cpp
@@ -182,6 +182,8 @@
     page.counter("conflicting_entries_total",
         "Entries that were ignored because they claim the identity of another target.",
         targets.conflictingEntries());
+    page.gauge("held_entries", "Entries that do not count yet because they contradict what is known.",
+        static_cast<double>(targets.heldCount()));
     page.gauge(
         "knowledge_age_seconds", "How long ago routes and targets were proved to be complete.", age.count());
     page.gauge("flows", "Flows that are remembered.", static_cast<double>(control.engine().flows().size()));
--- a/lib/Steering/directoryeras.cpp
+++ b/lib/Steering/directoryeras.cpp
@@ -1,26 +1,26 @@
-// The part of the target directory that handles a store that was restored from an older copy.
+// The part of the target directory that handles entries that contradict what is known: late writes, and those
+// of a store that was restored from an older copy.
 #include "jasminequay/Steering/targetdirectory.h"
 
+#include <algorithm>
+
 namespace jasminequay
 {
 
 /// Returns whether an entry of a new era shows an older state than the one known here: the copy was made
-/// before the target said that it drains, before it started again, before it ended, or before its address
-/// went to another target that may still have it.
+/// before the target said that it drains, before it ended, or before its address went to another target that
+/// may still have it.
 bool TargetDirectory::isFromOlderCopy(const TargetRecord &record)
 {
     const auto isOfEarlierEra = [&record](const KnownTarget *target) {
         return target != nullptr && eraOf(target->record.revision) < eraOf(record.revision);
     };
-    const auto named = m_byName.find(record.name);
-    const KnownTarget *const known = named == m_byName.end() ? nullptr : find(named->second);
+    const KnownTarget *const known = targetNamed(record.name);
     if (isOfEarlierEra(known)) {
         const bool isSameStart = known->key == record.identity.key();
         const bool isEnded = isSameStart && known->presence == TargetPresence::Gone;
         const bool isReadyAgain = isSameStart && known->record.isDraining && !record.isDraining;
-        const bool isOlderStart
-            = !isSameStart && record.identity.startedAt < known->record.identity.startedAt;
-        return isEnded || isReadyAgain || isOlderStart;
+        return isEnded || isReadyAgain;
     }
     const auto addressed = m_byAddress.find(record.address.packed());
     const KnownTarget *const other = addressed == m_byAddress.end() ? nullptr : find(addressed->second);
@@ -28,29 +28,56 @@
         && other->record.address == record.address && other->key != record.identity.key();
 }
 
-/// Returns whether an entry is held back. A newer one of the same era shows that it was written again, and
-/// what comes later than the grace period after the begin of an era was written in it.
-bool TargetDirectory::isHeld(const TargetRecord &record, TimePoint now)
+/// Returns whether an entry is of a later start than a known target. The time of a start orders the starts
+/// under one id, unless the clock was set back in between: a start that has ended is not a later one.
+bool TargetDirectory::startsLater(const TargetRecord &record, const KnownTarget &known)
+{
+    const KnownTarget *const start = find(record.identity.key());
+    const bool isEnded = start != nullptr && start->presence == TargetPresence::Gone;
+    return record.identity.startedAt > known.record.identity.startedAt && !isEnded;
+}
+
+/// Returns whether an entry is of an earlier start than the one that is believed: a write that the store has
+/// done late, or the first entry after the clock of its machine was set back.
+bool TargetDirectory::isOfEarlierStart(const TargetRecord &record)
+{
+    const KnownTarget *const known = targetNamed(record.name);
+    return known != nullptr && known->isAssigned && known->key != record.identity.key()
+        && m_services.contains(record.service) && !startsLater(record, *known);
+}
+
+void TargetDirectory::raiseEra(const TargetRecord &record, TimePoint now)
 {
     if (const std::uint32_t era = eraOf(record.revision); era > m_era) {
         m_era = era;
         m_eraSince = now;
     }
-    const auto held = m_held.find(record.name);
-    if (held != m_held.end() && held->second.record.revision >= record.revision) {
-        return true;
+}
+
+/// Returns how long an entry must stand before it counts; zero if it counts at once. In a new era, a newer
+/// entry of the same era shows that it was written again, and what comes later than the grace period after
+/// the begin of an era was written in it.
+Duration TargetDirectory::holdTime(const TargetRecord &record, TimePoint now)
+{
+    if (isOfEarlierStart(record)) {
+        return m_timing.rivalGrace;
     }
+    const auto held = m_held.find(record.name);
     const bool isWrittenAgain
         = held != m_held.end() && eraOf(held->second.record.revision) == eraOf(record.revision);
     const bool isEraNew = m_era > 0 && now - m_eraSince < m_timing.lapseGrace;
-    if (isEraNew && !isWrittenAgain && isFromOlderCopy(record)) {
-        m_held.insert_or_assign(record.name, HeldRecord{record, now + m_timing.lapseGrace});
-        return true;
-    }
-    if (held != m_held.end()) {
-        m_held.erase(held);
+    return isEraNew && !isWrittenAgain && isFromOlderCopy(record) ? m_timing.lapseGrace : Duration::zero();
+}
+
+/// Holds an entry back. Its time does not start again when the same start writes it again.
+void TargetDirectory::hold(const TargetRecord &record, Duration grace, TimePoint now)
+{
+    const auto [position, isNew] = m_held.try_emplace(record.name, HeldRecord{record, now + grace});
+    if (HeldRecord &held = position->second; !isNew) {
+        const bool isSameStart = held.record.identity == record.identity
+            && eraOf(held.record.revision) == eraOf(record.revision);
+        held = HeldRecord{record, isSameStart ? held.until : now + grace};
     }
-    return false;
 }
 
 void TargetDirectory::dropHeldRecords(const std::set<std::string> &listed, StoreRevision revision)
@@ -60,10 +87,10 @@
     });
 }
 
-void TargetDirectory::applyHeldRecords(TimePoint now)
+void TargetDirectory::applyHeldRecords(TimePoint provedAt, TimePoint now)
 {
     for (auto position = m_held.begin(); position != m_held.end();) {
-        if (now < position->second.until) {
+        if (std::min(now, provedAt) < position->second.until) {
             ++position;
             continue;
         }
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -362,11 +362,12 @@
 std::vector<PendingReset> SteeringEngine::sweep(TimePoint now, std::size_t limit)
 {
     checkHealth(now);
-    m_targets.expire(now, [this](std::uint64_t key) {
+    const auto forget = [this](std::uint64_t key) {
         for (auto &[flow, state] : m_flows.flows()) {
             state.target = state.target == key ? 0 : state.target;
         }
-    });
+    };
+    m_targets.expire(now, forget, m_currentAt);
     std::unordered_map<std::uint64_t, const KnownTarget *> lost;
     for (const std::uint64_t key : m_targets.watched()) {
         const KnownTarget &target = *m_targets.find(key);
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -40,16 +40,30 @@
     m_areIndexesStale = true;
 }
 
-/// Returns whether a newer entry, or the removal of this one, is already known.
+/// Returns the target that an entry of this name belongs to: the start that is believed.
+KnownTarget *TargetDirectory::targetNamed(const std::string &name)
+{
+    const auto named = m_byName.find(name);
+    return named == m_byName.end() ? nullptr : find(named->second);
+}
+
+/// Returns whether a newer entry, or the removal of this one, is already known. An entry of a later start
+/// than the one that is believed is news even if the store has put a late write of an earlier one in its
+/// place.
 bool TargetDirectory::isOutdated(const TargetRecord &record)
 {
     if (const auto removal = m_removals.find(record.name);
         removal != m_removals.end() && removal->second >= record.revision) {
         return true;
     }
-    const auto named = m_byName.find(record.name);
-    const KnownTarget *const newest = named == m_byName.end() ? nullptr : find(named->second);
-    return newest != nullptr && newest->record.revision > record.revision;
+    const KnownTarget *const known = targetNamed(record.name);
+    if (known != nullptr && startsLater(record, *known)) {
+        return false;
+    }
+    const auto held = m_held.find(record.name);
+    const bool isReplaced = held != m_held.end() && held->second.record.revision >= record.revision;
+    const bool isOfKnownStart = known != nullptr && known->key == record.identity.key();
+    return (isReplaced && !isOfKnownStart) || (known != nullptr && known->record.revision > record.revision);
 }
 
 /// Returns whether an entry claims the identity of a target that is published under another name or, as far
@@ -68,13 +82,13 @@
 /// whose service is not named proves no restart, but it has replaced the entry of the target.
 void TargetDirectory::endPreviousStart(const TargetRecord &record, bool isNamed, TimePoint now)
 {
-    const auto named = m_byName.find(record.name);
-    KnownTarget *const previous = named == m_byName.end() ? nullptr : find(named->second);
+    KnownTarget *const previous = targetNamed(record.name);
     if (previous == nullptr || previous->key == record.identity.key()) {
         return;
     }
     if (isNamed || !previous->isAssigned) {
-        markGone(*previous, TargetEnd::LaterStart, now);
+        const bool isLater = startsLater(record, *previous);
+        markGone(*previous, isLater ? TargetEnd::LaterStart : TargetEnd::EarlierStart, now);
     } else {
         lapse(*previous, now);
     }
@@ -82,9 +96,24 @@
 
 void TargetDirectory::put(const TargetRecord &record, TimePoint now)
 {
-    if (!isOutdated(record) && !isHeld(record, now)) {
-        apply(record, now);
+    raiseEra(record, now);
+    if (isOutdated(record)) {
+        return;
     }
+    if (const Duration grace = holdTime(record, now); grace > Duration::zero()) {
+        hold(record, grace, now);
+        return;
+    }
+    const KnownTarget *const known = targetNamed(record.name);
+    if (known != nullptr && known->record.revision > record.revision) {
+        // What stands in the store is a late write of the earlier start that was believed until now.
+        hold(known->record, m_timing.rivalGrace, now);
+    }
+    if (const auto held = m_held.find(record.name);
+        held != m_held.end() && held->second.record.revision < record.revision) {
+        m_held.erase(held);
+    }
+    apply(record, now);
 }
 
 void TargetDirectory::apply(const TargetRecord &record, TimePoint now)
@@ -141,7 +170,8 @@
         return;
     }
     KnownTarget *const other = find(position->second);
-    const bool isNewer = other == nullptr || other->record.address != address
+    const bool isFree = other == nullptr || other->presence == TargetPresence::Gone;
+    const bool isNewer = isFree || other->record.address != address
         || other->record.revision < m_targets.at(key).record.revision;
     if (!isNewer) {
         markGone(m_targets.at(key), TargetEnd::AddressTaken, now);
@@ -181,8 +211,7 @@
 
 void TargetDirectory::remove(const std::string &name, std::uint64_t revision, TimePoint now)
 {
-    const auto named = m_byName.find(name);
-    KnownTarget *const target = named == m_byName.end() ? nullptr : find(named->second);
+    KnownTarget *const target = targetNamed(name);
     if (target == nullptr && m_removals.size() >= MaximumRemovals) {
         markRemovalsUnknownUpTo(revision);
         return;
@@ -247,10 +276,11 @@
     markGone(target, TargetEnd::PeerReport, now);
 }
 
-void TargetDirectory::expire(TimePoint now, const std::function<void(std::uint64_t)> &forget)
+void TargetDirectory::expire(
+    TimePoint now, const std::function<void(std::uint64_t)> &forget, TimePoint provedAt)
 {
     m_evacuations.expire(m_timing.lapseGrace, now);
-    applyHeldRecords(now);
+    applyHeldRecords(provedAt, now);
     for (auto position = m_watched.begin(); position != m_watched.end();) {
         const std::uint64_t key = *position;
         const auto found = m_targets.find(key);
