--- a/include/jasminequay/Steering/knowntarget.h
+++ b/include/jasminequay/Steering/knowntarget.h
@@ -28,7 +28,6 @@
     EntryMissing, ///< Its entry was missing for longer than the grace period.
     LaterStart, ///< Its process has started again under the same id.
     EarlierStart, ///< An entry of an earlier start has stood in the place of its own for too long.
-    AddressTaken, ///< Another target has published its address.
     AnsweredByOther, ///< Another process answered at its address.
     PeerReport, ///< A peer keeps it as ended.
 };
@@ -44,6 +43,9 @@
     /// program, and says nothing about other targets.
     bool isAssigned = false;
     TargetEnd end = TargetEnd::None;
+    /// Whether another target publishes the same address and is taken for the one that has it. It then gets no
+    /// new flows but keeps its own: the entry of either may be a late write.
+    bool isDisplaced = false;
     TimePoint presenceSince; ///< When the presence last changed.
     TimePoint drainingSince; ///< When it was first seen draining, if it is draining.
     TimePoint warmUpEndsAt; ///< When its slow start ends.
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -43,8 +43,9 @@
     /// Adds or updates a published entry. An entry of an earlier start than the one that is known under its
     /// name takes effect only if it stands for longer than a late write can. An entry of a new era that is
     /// older than what is known of its target takes effect after the grace period only, unless it is written
-    /// again. An entry of a service that is not named does not affect other targets, except that a target
-    /// whose own entry it replaces is no longer listed.
+    /// again. Of several targets at one address, the one that started last gets the new flows; no target is
+    /// ended by another one's entry. An entry of a service that is not named does not affect other targets,
+    /// except that a target whose own entry it replaces is no longer listed.
     void put(const TargetRecord &record, TimePoint now);
 
     /// Records the removal of an entry at store revision `revision`.
@@ -59,7 +60,8 @@
     /// Marks a target as cold for some time, as it has had no flows.
     void markCold(std::uint64_t key, Duration duration, TimePoint now);
 
-    /// Marks a target as ended because another process answers at its address.
+    /// Marks a target as ended because another process answers at its address. It is listed again if its entry
+    /// is written anew, or stands for longer than that of a silent target can.
     void markReplaced(std::uint64_t key, TimePoint now);
 
     /// Marks lapsed targets as ended after the grace period, applies the held entries that still stood at
@@ -78,7 +80,7 @@
     /// selects the one to try first.
     [[nodiscard]] SteeringToken tokenFor(const KnownTarget &target, std::uint64_t flowHash);
 
-    /// Returns the targets of a service that have not ended.
+    /// Returns the targets of a service that have not ended and are not displaced.
     [[nodiscard]] const std::vector<KnownTarget *> &targetsOfService(const std::string &service);
 
     /// Returns all known targets by key.
@@ -189,7 +191,10 @@
     [[nodiscard]] bool isOutdated(const TargetRecord &record);
     [[nodiscard]] bool isConflicting(const TargetRecord &record, bool isNamed);
     void endPreviousStart(const TargetRecord &record, bool isNamed, TimePoint now);
-    void endOthersAtAddress(Endpoint address, std::uint64_t key, TimePoint now);
+    [[nodiscard]] bool isPublished(const KnownTarget &target) const;
+    void claimAddress(const KnownTarget &target);
+    void releaseAddress(const KnownTarget &target);
+    void assignAddress(Endpoint address);
     void refreshIndexes();
     [[nodiscard]] bool isShared(SteeringToken token) const;
 
@@ -204,7 +209,8 @@
     std::unordered_map<std::string, HeldRecord> m_held; ///< By name.
     std::uint32_t m_era = 0; ///< The highest era of an entry.
     TimePoint m_eraSince; ///< When the first entry of this era came.
-    std::unordered_map<std::uint64_t, std::uint64_t> m_byAddress; ///< The newest target's key by address.
+    /// The keys of all targets that have published each address.
+    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> m_byAddress;
     EvacuationTable m_evacuations;
     std::unordered_map<std::string, OpeningWatch> m_openings; ///< By data centre.
     std::vector<std::pair<SteeringToken, std::uint64_t>> m_tokens; ///< Sorted, with the key of each target.
--- a/lib/Steering/directoryeras.cpp
+++ b/lib/Steering/directoryeras.cpp
@@ -23,9 +23,14 @@
         return isEnded || isReadyAgain;
     }
     const auto addressed = m_byAddress.find(record.address.packed());
-    const KnownTarget *const other = addressed == m_byAddress.end() ? nullptr : find(addressed->second);
-    return known == nullptr && isOfEarlierEra(other) && other->presence != TargetPresence::Gone
-        && other->record.address == record.address && other->key != record.identity.key();
+    if (known != nullptr || addressed == m_byAddress.end()) {
+        return false;
+    }
+    return std::any_of(addressed->second.begin(), addressed->second.end(), [&](std::uint64_t key) {
+        const KnownTarget &other = m_targets.at(key);
+        return isOfEarlierEra(&other) && other.presence != TargetPresence::Gone
+            && key != record.identity.key();
+    });
 }
 
 /// Returns whether an entry is of a later start than a known target. The time of a start orders the starts
--- a/lib/Steering/knowntarget.cpp
+++ b/lib/Steering/knowntarget.cpp
@@ -17,12 +17,11 @@
     {TargetPresence::Gone, "gone"},
 }};
 
-static constexpr EnumNames<TargetEnd, 7> TargetEndNames{{
+static constexpr EnumNames<TargetEnd, 6> TargetEndNames{{
     {TargetEnd::None, "none"},
     {TargetEnd::EntryMissing, "entry-missing"},
     {TargetEnd::LaterStart, "later-start"},
     {TargetEnd::EarlierStart, "earlier-start"},
-    {TargetEnd::AddressTaken, "address-taken"},
     {TargetEnd::AnsweredByOther, "answered-by-other"},
     {TargetEnd::PeerReport, "peer-report"},
 }};
--- a/lib/Steering/retransmissionrules.cpp
+++ b/lib/Steering/retransmissionrules.cpp
@@ -41,8 +41,8 @@
     if (target == nullptr || !isRepeatable(engine, flow)) {
         return false;
     }
-    const bool isHealthy = target->presence == TargetPresence::Listed && !target->record.isDraining
-        && target->evidence.verdict(now) == TargetVerdict::Healthy;
+    const bool isHealthy = target->presence == TargetPresence::Listed && !target->isDisplaced
+        && !target->record.isDraining && target->evidence.verdict(now) == TargetVerdict::Healthy;
     // A copy may open a flow that the first packet did not, so it must respect what keeps new flows away.
     const bool isClosed = engine.targets().evacuations().isEvacuated(target->record.dataCentre)
         || engine.coldTargets().isLimitedNow(*target, now);
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -25,7 +25,7 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-void TargetDirectory::setServices(std::set<std::string, std::less<>> services, TimePoint now)
+void TargetDirectory::setServices(std::set<std::string, std::less<>> services, TimePoint /*now*/)
 {
     m_services = std::move(services);
     for (auto &[key, target] : m_targets) {
@@ -33,9 +33,9 @@
             continue;
         }
         target.isAssigned = true;
-        if (target.presence != TargetPresence::Gone) {
-            endOthersAtAddress(target.record.address, key, now);
-        }
+    }
+    for (const auto &[key, target] : m_targets) {
+        assignAddress(target.record.address);
     }
     m_areIndexesStale = true;
 }
@@ -62,6 +62,12 @@
     }
     const auto held = m_held.find(record.name);
     const bool isReplaced = held != m_held.end() && held->second.record.revision >= record.revision;
+    const KnownTarget *const start = find(record.identity.key());
+    if (start != nullptr && start->end == TargetEnd::AnsweredByOther
+        && start->record.revision >= record.revision) {
+        // The end of the target is known here but not published yet.
+        return true;
+    }
     const bool isOfKnownStart = known != nullptr && known->key == record.identity.key();
     return (isReplaced && !isOfKnownStart) || (known != nullptr && known->record.revision > record.revision);
 }
@@ -128,11 +134,6 @@
     endPreviousStart(record, isNamed, now);
     const auto [position, isNew] = m_targets.try_emplace(key);
     KnownTarget &target = position->second;
-    const bool isEnded = target.presence == TargetPresence::Gone && record.revision <= target.record.revision;
-    if (!isNew && isEnded) {
-        // The end of the target is known here but not published yet.
-        return;
-    }
     const bool wasDraining = target.record.isDraining;
     // The copy of an entry that was known before the store was restored says nothing new of the slow start.
     const bool isKnownEntry = eraOf(target.record.revision) < eraOf(record.revision)
@@ -142,9 +143,11 @@
         target.coldUntil
             = std::max<TimePoint>(target.coldUntil, now + std::min(record.warmUpLeft, LongestColdTime));
     }
+    releaseAddress(target);
     target.record = record;
     target.key = key;
     target.isAssigned = target.isAssigned || isNamed;
+    claimAddress(target);
     if (!isCopied) {
         target.warmUpEndsAt = now + record.warmUpLeft;
     }
@@ -155,32 +158,18 @@
         target.drainingSince = now;
     }
     m_byName[record.name] = key;
-    if (target.isAssigned) {
-        endOthersAtAddress(record.address, key, now);
-    }
+    assignAddress(record.address);
     m_areIndexesStale = true;
 }
 
-/// Ends other targets at an address, as an address belongs to one target at a time. Only for assigned
-/// targets: other entries do not prove who has the address.
-void TargetDirectory::endOthersAtAddress(Endpoint address, std::uint64_t key, TimePoint now)
+/// Returns whether the entry of a target stands in the store.
+bool TargetDirectory::isPublished(const KnownTarget &target) const
 {
-    const auto [position, isNew] = m_byAddress.try_emplace(address.packed(), key);
-    if (isNew || position->second == key) {
-        return;
-    }
-    KnownTarget *const other = find(position->second);
-    const bool isFree = other == nullptr || other->presence == TargetPresence::Gone;
-    const bool isNewer = isFree || other->record.address != address
-        || other->record.revision < m_targets.at(key).record.revision;
-    if (!isNewer) {
-        markGone(m_targets.at(key), TargetEnd::AddressTaken, now);
-        return;
-    }
-    position->second = key;
-    if (other != nullptr && other->record.address == address) {
-        markGone(*other, TargetEnd::AddressTaken, now);
-    }
+    const auto named = m_byName.find(target.record.name);
+    const auto removal = m_removals.find(target.record.name);
+    const bool isRemoved = removal != m_removals.end() && removal->second >= target.record.revision;
+    return named != m_byName.end() && named->second == target.key && !isRemoved
+        && !m_held.contains(target.record.name);
 }
 
 void TargetDirectory::setPresence(KnownTarget &target, TargetPresence presence, TimePoint now)
@@ -188,6 +177,7 @@
     target.presence = presence;
     target.end = TargetEnd::None;
     target.presenceSince = now;
+    assignAddress(target.record.address);
     if (presence != TargetPresence::Listed) {
         m_watched.insert(target.key);
     }
@@ -289,6 +279,12 @@
         if (target.presence == TargetPresence::Lapsed && now - target.presenceSince >= m_timing.lapseGrace) {
             markGone(target, TargetEnd::EntryMissing, now);
         }
+        const bool wasWronglyProved = target.end == TargetEnd::AnsweredByOther && isPublished(target)
+            && std::min(now, provedAt) - target.presenceSince >= m_timing.rivalGrace;
+        if (wasWronglyProved) {
+            setPresence(target, TargetPresence::Listed, now);
+            m_areIndexesStale = true;
+        }
         const bool isForgotten = target.presence == TargetPresence::Gone
             && now - target.presenceSince >= m_timing.tombstoneLifetime;
         const bool isSettled
@@ -312,10 +308,7 @@
             m_removals.erase(removal);
         }
     }
-    if (const auto addressed = m_byAddress.find(target.record.address.packed());
-        addressed != m_byAddress.end() && addressed->second == key) {
-        m_byAddress.erase(addressed);
-    }
+    releaseAddress(target);
     m_targets.erase(position);
     m_areIndexesStale = true;
 }
@@ -332,7 +325,7 @@
         for (unsigned number = 0; number < TokensPerTarget; ++number) {
             m_tokens.emplace_back(steeringToken(key, number), key);
         }
-        if (target.presence != TargetPresence::Gone) {
+        if (target.presence != TargetPresence::Gone && !target.isDisplaced) {
             m_byService[target.record.service].push_back(&target);
         }
     }
--- a/unittests/Fleet/foreignentrytest.cpp
+++ b/unittests/Fleet/foreignentrytest.cpp
@@ -22,14 +22,14 @@
     return record;
 }
 
-/// Tells at how many instances target number zero is listed.
+/// Tells at how many instances target number zero is listed and has its address.
 static std::size_t listedAt(FakeCluster &cluster)
 {
     const std::uint64_t key = TargetIdentity{1, 1}.key();
     return static_cast<std::size_t>(
         std::count_if(cluster.members.begin(), cluster.members.end(), [key](const FakeMember &member) {
             const KnownTarget *const target = member.engine->targets().find(key);
-            return target != nullptr && target->presence == TargetPresence::Listed;
+            return target != nullptr && target->presence == TargetPresence::Listed && !target->isDisplaced;
         }));
 }
 
@@ -75,6 +75,9 @@
     cluster.run(seconds(1));
     EXPECT_EQ(listedAt(cluster), 0U) << "the address belongs to the newer target";
     for (const FakeMember &member : cluster.members) {
+        const std::vector<KnownTarget *> &others = member.engine->targets().targetsOfService("desk");
+        EXPECT_TRUE(std::none_of(others.begin(), others.end(),
+            [](const KnownTarget *target) { return target->record.name == "i-0"; }));
         EXPECT_EQ(member.engine->targets().targetsOfService("guides").size(), 1U);
         EXPECT_EQ(member.control->revision(), cluster.store.revision());
     }
--- a/unittests/Steering/directorytest.cpp
+++ b/unittests/Steering/directorytest.cpp
@@ -61,7 +61,9 @@
     EXPECT_EQ(directory.targetsOfService("desk").front()->key, after.identity.key());
 }
 
-TEST(TargetDirectory, AReusedAddressEndsItsPreviousTarget)
+/// Replaces a test that wanted the previous target ended at once: a late write ended living targets that way
+/// (docs/incidents/15.md). It gets no new flows from the same moment on, and ends with its entry.
+TEST(TargetDirectory, AReusedAddressTakesTheNewFlowsOfItsPreviousTarget)
 {
     TargetDirectory directory;
     directory.setServices({"desk", "guides"}, Start);
@@ -70,14 +72,23 @@
     other.address = targetOf(0).address;
     other.service = "guides";
     directory.put(other, Start);
-    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Gone);
+    EXPECT_TRUE(directory.find(targetOf(0).identity.key())->isDisplaced);
     EXPECT_TRUE(directory.targetsOfService("desk").empty());
     // An older entry that arrives later does not take the address back.
     TargetRecord late = targetOf(2, 3);
     late.address = targetOf(0).address;
     directory.put(late, Start);
-    EXPECT_EQ(presenceOf(directory, late), TargetPresence::Gone);
+    EXPECT_TRUE(directory.find(late.identity.key())->isDisplaced);
+    EXPECT_TRUE(directory.targetsOfService("desk").empty());
     EXPECT_EQ(presenceOf(directory, other), TargetPresence::Listed);
+    EXPECT_FALSE(directory.find(other.identity.key())->isDisplaced);
+    for (const char *const name : {"i-0", "i-2"}) {
+        directory.remove(name, 8, Start);
+    }
+    directory.expire(Start + seconds(3), ignoreForgotten);
+    EXPECT_EQ(presenceOf(directory, targetOf(0)), TargetPresence::Gone);
+    EXPECT_EQ(presenceOf(directory, late), TargetPresence::Gone);
+    EXPECT_EQ(directory.targetsOfService("guides").size(), 1U);
 }
 
 /// Guards against packets for the old target at an endpoint that restarted under a new id while the store was
--- a/unittests/Steering/latewritetest.cpp
+++ b/unittests/Steering/latewritetest.cpp
@@ -151,4 +151,112 @@
     expectServing(50);
 }
 
+/// An instance with a target that has the address of one that has ended, and an open flow at it. Another
+/// service has a target of its own.
+class LateWriteOfAFormerTarget : public testing::Test
+{
+protected:
+    LateWriteOfAFormerTarget()
+        : instance(0)
+    {
+        put(successor(5));
+        placed = instance.open(1);
+    }
+
+    static TargetRecord former(std::uint64_t revision, std::int64_t startedAt = 1)
+    {
+        TargetRecord record = targetOf(1, revision, startedAt);
+        record.address = targetOf(0).address;
+        return record;
+    }
+    static TargetRecord successor(std::uint64_t revision)
+    {
+        return targetOf(0, revision, 700);
+    }
+
+    void put(const TargetRecord &record)
+    {
+        instance.engine.targets().put(record, instance.now);
+    }
+
+    /// Advances the time in steps while the store is read; returns the resets.
+    std::size_t run(Duration duration)
+    {
+        std::size_t resets = 0;
+        constexpr Duration Step = milliseconds(500);
+        for (Duration done{}; done < duration; done += Step) {
+            instance.now += Step;
+            instance.engine.markCurrentAt(instance.now);
+            resets += instance.engine.sweep(instance.now, 100).size();
+        }
+        return resets;
+    }
+
+    /// Expects that the successor keeps its flow, and whether it gets new ones.
+    void expectServing(std::uint32_t newCaller, bool getsNewFlows = true)
+    {
+        EXPECT_EQ(instance.target(0, 700).presence, TargetPresence::Listed);
+        EXPECT_EQ(instance.take(dataOf(1, placed.token, 1001, 5000, 10)).action, SteeringAction::Forward);
+        const SteeringDecision opening = instance.take(openingOf(newCaller));
+        EXPECT_EQ(opening.targetId == successor(0).identity.id, getsNewFlows);
+    }
+
+    SteeredInstance instance;
+    SteeringDecision placed;
+};
+
+/// Guards against a late heartbeat of a target that has ended, which took its former address from the living
+/// one: this was never listed again, and its flows were reset (docs/incidents/15.md, review/7).
+TEST_F(LateWriteOfAFormerTarget, DoesNotEndTheOneThatHasTheAddress)
+{
+    put(former(9));
+    EXPECT_EQ(run(seconds(3)), 0U);
+    expectServing(10);
+    instance.engine.targets().remove("i-1", 10, instance.now);
+    EXPECT_EQ(run(seconds(20)), 0U);
+    expectServing(20);
+    EXPECT_EQ(instance.target(1).presence, TargetPresence::Gone);
+}
+
+/// Guards against the same in the order of a complete list or of an instance that starts later.
+TEST_F(LateWriteOfAFormerTarget, DoesNotEndItInWhateverOrderTheyAreHeard)
+{
+    for (const bool isFormerFirst : {true, false}) {
+        TargetDirectory joiner;
+        joiner.setServices({"desk"}, instance.now);
+        std::vector<TargetRecord> list{successor(5), former(9)};
+        if (isFormerFirst) {
+            std::swap(list[0], list[1]);
+        }
+        joiner.replaceAll(list, 12, instance.now);
+        ASSERT_EQ(joiner.targetsOfService("desk").size(), 1U) << isFormerFirst;
+        EXPECT_EQ(joiner.targetsOfService("desk").front()->record.name, "i-0") << isFormerFirst;
+        EXPECT_EQ(joiner.find(former(0).identity.key())->presence, TargetPresence::Listed) << isFormerFirst;
+    }
+}
+
+/// Guards against ending a target because the clock of another machine is ahead: it loses new flows only, and
+/// only as long as the entry of the former one stands.
+TEST_F(LateWriteOfAFormerTarget, WithALaterTimeTakesNewFlowsForAWhileOnly)
+{
+    put(former(9, 900));
+    EXPECT_EQ(run(seconds(3)), 0U);
+    expectServing(10, false);
+    instance.engine.targets().remove("i-1", 10, instance.now);
+    EXPECT_EQ(run(milliseconds(500)), 0U);
+    expectServing(20);
+}
+
+/// Guards against a target that is lost for good because a probe once named another one at its address: its
+/// heartbeats renew its entry.
+TEST_F(LateWriteOfAFormerTarget, IsNotBelievedForGoodByAProbe)
+{
+    instance.engine.targets().markReplaced(successor(0).identity.key(), instance.now);
+    run(RivalGrace - seconds(1));
+    EXPECT_EQ(instance.target(0, 700).presence, TargetPresence::Gone);
+    run(seconds(1));
+    EXPECT_EQ(instance.target(0, 700).presence, TargetPresence::Listed);
+    EXPECT_EQ(instance.engine.targets().targetsOfService("desk").size(), 1U);
+}
+
 } // namespace jasminequay::steering
