--- a/include/jasminequay/Steering/knowntarget.h
+++ b/include/jasminequay/Steering/knowntarget.h
@@ -43,8 +43,8 @@
     /// program, and says nothing about other targets.
     bool isAssigned = false;
     TargetEnd end = TargetEnd::None;
-    /// Whether another target publishes the same address and is taken for the one that has it. It then gets no
-    /// new flows but keeps its own: the entry of either may be a late write.
+    /// Whether another target publishes the same address and is taken for the one that has it. It then gets
+    /// no new flows but keeps its own: the entry of either may be a late write.
     bool isDisplaced = false;
     TimePoint presenceSince; ///< When the presence last changed.
     TimePoint drainingSince; ///< When it was first seen draining, if it is draining.
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminequay/Steering/directoryupdate.h"
+#include "jasminequay/Steering/entrytable.h"
 #include "jasminequay/Steering/evacuationtable.h"
 #include "jasminequay/Steering/knowntarget.h"
 #include "jasminequay/Steering/openingwatch.h"
@@ -31,7 +32,9 @@
     Duration tombstoneLifetime = std::chrono::seconds(60);
 };
 
-/// Stores targets and indexes them by token, service and id. Older entries never replace newer ones.
+/// Derives the targets from the entries of the store, and indexes them by token, service and id. What an
+/// instance knows follows from the entries that stand and from the starts it has seen, not from the order in
+/// which it heard of them.
 class TargetDirectory
 {
 public:
@@ -44,8 +47,9 @@
     /// name takes effect only if it stands for longer than a late write can. An entry of a new era that is
     /// older than what is known of its target takes effect after the grace period only, unless it is written
     /// again. Of several targets at one address, the one that started last gets the new flows; no target is
-    /// ended by another one's entry. An entry of a service that is not named does not affect other targets,
-    /// except that a target whose own entry it replaces is no longer listed.
+    /// ended by another one's entry. Of several entries with the identity of one target, only its own counts.
+    /// An entry of a service that is not named does not affect other targets, except that a target whose own
+    /// entry it replaces is no longer listed.
     void put(const TargetRecord &record, TimePoint now);
 
     /// Records the removal of an entry at store revision `revision`.
@@ -60,8 +64,8 @@
     /// Marks a target as cold for some time, as it has had no flows.
     void markCold(std::uint64_t key, Duration duration, TimePoint now);
 
-    /// Marks a target as ended because another process answers at its address. It is listed again if its entry
-    /// is written anew, or stands for longer than that of a silent target can.
+    /// Marks a target as ended because another process answers at its address. It is listed again if its
+    /// entry is written anew, or stands for longer than that of a silent target can.
     void markReplaced(std::uint64_t key, TimePoint now);
 
     /// Marks lapsed targets as ended after the grace period, applies the held entries that still stood at
@@ -106,8 +110,22 @@
         return m_watched;
     }
 
-    /// Returns the removals of entries after a revision.
-    [[nodiscard]] std::vector<TargetRemoval> removalsAfter(std::uint64_t revision) const;
+    /// Returns what is known of the store: the entries and removals by name.
+    [[nodiscard]] const EntryTable &entries() const
+    {
+        return m_entries;
+    }
+
+    /// Returns the records after a revision for a peer that lacks them: the starts that are believed although
+    /// their entry does not stand, and then the entries that stand. Their slow starts are those that are
+    /// left.
+    [[nodiscard]] std::vector<TargetRecord> recordsAfter(StoreRevision revision, TimePoint now) const;
+
+    /// Records that removals up to a revision are not known.
+    void markRemovalsUnknownUpTo(StoreRevision revision)
+    {
+        m_entries.markRemovalsUnknownUpTo(revision);
+    }
 
     /// Returns the records after a revision that are held back: they contradict what is known of their
     /// targets, and take effect only if they are not replaced in time.
@@ -119,19 +137,6 @@
         return m_held.size();
     }
 
-    /// Returns the revision after which all removals are known. A peer with an older revision must receive
-    /// the complete list, as the entries removed since cannot be enumerated.
-    [[nodiscard]] std::uint64_t removalsKnownSince() const
-    {
-        return m_removalsKnownSince;
-    }
-
-    /// Records that removals up to a revision are not known.
-    void markRemovalsUnknownUpTo(std::uint64_t revision)
-    {
-        m_removalsKnownSince = std::max(m_removalsKnownSince, revision);
-    }
-
     /// Returns the evacuations of data centres.
     [[nodiscard]] EvacuationTable &evacuations()
     {
@@ -160,37 +165,49 @@
     [[nodiscard]] std::size_t unassignedCount() const;
 
     /// Returns how many entries were ignored because they claim the identity of a target that is published
-    /// under another name or for another service.
+    /// under another name.
     [[nodiscard]] std::uint64_t conflictingEntries() const
     {
         return m_conflictingEntries;
     }
 
 private:
+    /// The start of a target that the entries under one name stand for.
+    struct NamedStart {
+        TargetRecord record; ///< Its latest entry.
+        /// Whether that entry stands in the store, or one that contradicts it and does not count yet.
+        bool isStanding = true;
+    };
+
     /// An entry that contradicts what is known of its target, and does not count yet.
     struct HeldRecord {
         TargetRecord record;
-        TimePoint until; ///< When it is applied unless a newer one comes.
+        TimePoint until; ///< When it counts unless a newer one comes.
     };
 
-    void apply(const TargetRecord &record, TimePoint now);
-    [[nodiscard]] KnownTarget *targetNamed(const std::string &name);
-    [[nodiscard]] bool startsLater(const TargetRecord &record, const KnownTarget &known);
-    [[nodiscard]] bool isOfEarlierStart(const TargetRecord &record);
-    [[nodiscard]] bool isFromOlderCopy(const TargetRecord &record);
-    [[nodiscard]] Duration holdTime(const TargetRecord &record, TimePoint now);
+    [[nodiscard]] bool isAssigned(const std::string &service) const;
+    [[nodiscard]] const NamedStart *startNamed(const std::string &name) const;
+    [[nodiscard]] const NamedStart *ownerOf(std::uint64_t key) const;
+    [[nodiscard]] bool startsLater(const TargetRecord &record, const TargetRecord &other) const;
+    [[nodiscard]] bool isOfEarlierStart(const TargetRecord &record) const;
+    [[nodiscard]] bool isFromOlderCopy(const TargetRecord &record) const;
+    [[nodiscard]] Duration holdTime(const TargetRecord &record, TimePoint now) const;
     void hold(const TargetRecord &record, Duration grace, TimePoint now);
     void raiseEra(const TargetRecord &record, TimePoint now);
     void applyHeldRecords(TimePoint provedAt, TimePoint now);
-    /// Drops the held records up to a revision that a complete list at that revision lacks.
-    void dropHeldRecords(const std::set<std::string> &listed, StoreRevision revision);
+    void considerServices(const std::set<std::string, std::less<>> &added, TimePoint now);
+    void consider(const TargetRecord &record, TimePoint now);
+    void considerReplaced(const TargetRecord &record, TimePoint now);
+    void accept(const TargetRecord &record, bool isStanding, TimePoint now);
+    void markMissing(const std::string &name, TimePoint now);
+    void drop(const std::string &name, TargetEnd end, TimePoint now);
+    void releaseClaim(std::uint64_t key, const std::string &name);
+    void refreshTarget(std::uint64_t key, TargetEnd end, TimePoint now);
+    void setRecord(KnownTarget &target, const TargetRecord &record, bool isNew, TimePoint now);
     void setPresence(KnownTarget &target, TargetPresence presence, TimePoint now);
     void markGone(KnownTarget &target, TargetEnd end, TimePoint now);
     void eraseTarget(std::map<std::uint64_t, KnownTarget>::iterator position);
     void lapse(KnownTarget &target, TimePoint now);
-    [[nodiscard]] bool isOutdated(const TargetRecord &record);
-    [[nodiscard]] bool isConflicting(const TargetRecord &record, bool isNamed);
-    void endPreviousStart(const TargetRecord &record, bool isNamed, TimePoint now);
     [[nodiscard]] bool isPublished(const KnownTarget &target) const;
     void claimAddress(const KnownTarget &target);
     void releaseAddress(const KnownTarget &target);
@@ -200,12 +217,13 @@
 
     DirectoryTiming m_timing;
     std::set<std::string, std::less<>> m_services; ///< Those that the configuration names.
+    std::set<std::string, std::less<>> m_knownServices; ///< Those that a configuration in force has named.
+    EntryTable m_entries;
+    std::map<std::string, NamedStart> m_starts; ///< By the name of their entries.
+    std::unordered_map<std::uint64_t, std::vector<std::string>> m_claims; ///< The names in m_starts by key.
     std::map<std::uint64_t, KnownTarget> m_targets;
     std::uint64_t m_conflictingEntries = 0;
     std::set<std::uint64_t> m_watched;
-    std::unordered_map<std::string, std::uint64_t> m_byName; ///< The key of the newest start by name.
-    std::unordered_map<std::string, std::uint64_t> m_removals; ///< The revision of each removal by name.
-    std::uint64_t m_removalsKnownSince = 0;
     std::unordered_map<std::string, HeldRecord> m_held; ///< By name.
     std::uint32_t m_era = 0; ///< The highest era of an entry.
     TimePoint m_eraSince; ///< When the first entry of this era came.
--- a/lib/Fleet/fleetimage.cpp
+++ b/lib/Fleet/fleetimage.cpp
@@ -1,6 +1,5 @@
 #include "jasminequay/Fleet/fleetcontrol.h"
 
-#include <map>
 #include <set>
 #include <utility>
 
@@ -20,30 +19,17 @@
         return changes;
     }
     changes.completeReadRevision = changes.revision;
-    std::map<std::string, const TargetRecord *> listed;
+    const EntryTable &entries = m_engine.targets().entries();
+    std::set<std::string> listed;
     for (const TargetRecord &record : update.targets) {
-        listed[record.name] = &record;
-    }
-    std::map<std::string, std::uint64_t> known;
-    for (const auto &[key, target] : m_engine.targets().targets()) {
-        if (target.presence != TargetPresence::Listed) {
-            continue;
-        }
-        known[target.record.name] = target.record.revision;
-        if (!listed.contains(target.record.name)) {
-            changes.removals.push_back({target.record.name, update.revision});
-        }
-    }
-    for (const TargetRecord &record : m_engine.targets().heldRecordsAfter(0)) {
-        if (!known.contains(record.name) && !listed.contains(record.name)) {
-            changes.removals.push_back({record.name, update.revision});
+        listed.insert(record.name);
+        const TargetRecord *const known = entries.find(record.name);
+        if (known == nullptr || known->revision < record.revision) {
+            changes.targets.push_back(record);
         }
     }
-    for (const auto &[name, record] : listed) {
-        const auto before = known.find(name);
-        if (before == known.end() || before->second < record->revision) {
-            changes.targets.push_back(*record);
-        }
+    for (std::string &name : entries.missingFrom(listed, update.revision)) {
+        changes.removals.push_back({std::move(name), update.revision});
     }
     return changes;
 }
@@ -51,36 +37,28 @@
 ListingChecksum FleetControl::checksumListing(std::uint64_t revision, const DirectoryUpdate &update) const
 {
     std::set<std::string> names;
-    std::set<std::uint64_t> tombstoneKeys;
     for (const TargetRecord &record : update.targets) {
         names.insert(record.name);
     }
     for (const TargetRemoval &removal : update.removals) {
         names.insert(removal.name);
     }
-    for (const TargetRecord &record : update.tombstones) {
-        tombstoneKeys.insert(record.identity.key());
-    }
     ListingChecksum digest;
-    for (const auto &[key, target] : m_engine.targets().targets()) {
-        const bool isCounted = target.presence == TargetPresence::Listed && target.record.revision <= revision
-            && !names.contains(target.record.name) && !tombstoneKeys.contains(key);
-        if (isCounted) {
-            ++digest.count;
-            digest.sum += hashText(target.record.name);
-        }
+    for (const std::string &name : m_engine.targets().entries().missingFrom(names, revision)) {
+        ++digest.count;
+        digest.sum += hashText(name);
     }
     return digest;
 }
 
 FetchResponse FleetControl::answerFetch(const FetchRequest &request, TimePoint now)
 {
-    const bool isEachRemovalNamed = request.after >= m_engine.targets().removalsKnownSince();
+    const bool isEachRemovalNamed = request.after >= m_engine.targets().entries().removalsKnownSince();
     const std::uint64_t after = isEachRemovalNamed || request.supportsListingChecksum ? request.after : 0;
     FetchResponse response;
     response.after = after;
     response.age = now - m_engine.currentAt();
-    response.removalsKnownSince = m_engine.targets().removalsKnownSince();
+    response.removalsKnownSince = m_engine.targets().entries().removalsKnownSince();
     response.routesRevision = provedRoutesRevision();
     response.evacuationsRevision = evacuationsRevision();
     response.update.evacuations = m_engine.targets().evacuations().records();
@@ -89,20 +67,13 @@
     if (after == 0 || request.routesVersion < m_engine.routes().configuration().version) {
         response.update.routes = m_engine.routes().configuration();
     }
-    response.update.removals = m_engine.targets().removalsAfter(after);
+    response.update.removals = m_engine.targets().entries().removalsAfter(after);
+    response.update.targets = m_engine.targets().recordsAfter(after, now);
     for (const auto &[key, target] : m_engine.targets().targets()) {
-        const bool isGone = target.presence == TargetPresence::Gone;
-        const bool isWanted = target.record.revision > after || (isGone && !isEachRemovalNamed);
-        if (!isWanted) {
-            continue;
+        const bool isWanted = target.record.revision > after || !isEachRemovalNamed;
+        if (target.presence == TargetPresence::Gone && isWanted) {
+            response.update.tombstones.push_back(target.record);
         }
-        TargetRecord record = target.record;
-        const TimePoint coldUntil = std::max(target.warmUpEndsAt, target.coldUntil);
-        record.warmUpLeft = std::max<Duration>(coldUntil - now, Duration::zero());
-        (isGone ? response.update.tombstones : response.update.targets).push_back(std::move(record));
-    }
-    for (TargetRecord &record : m_engine.targets().heldRecordsAfter(after)) {
-        response.update.targets.push_back(std::move(record));
     }
     if (after > 0 && !isEachRemovalNamed) {
         response.listingChecksum = checksumListing(after, response.update);
--- a/lib/Steering/directoryaddresses.cpp
+++ b/lib/Steering/directoryaddresses.cpp
@@ -41,8 +41,8 @@
 }
 
 /// Determines which of the targets at an address gets new flows. The others are displaced but not ended: the
-/// entry of the one that has it may be a late write, so what ends them is their own silence or a missing entry.
-/// Entries of services that the configuration does not name do not prove who has the address.
+/// entry of the one that has it may be a late write, so what ends them is their own silence or a missing
+/// entry. Entries of services that the configuration does not name do not prove who has the address.
 void TargetDirectory::assignAddress(Endpoint address)
 {
     const auto found = m_byAddress.find(address.packed());
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -7,9 +7,6 @@
 namespace jasminequay
 {
 
-/// Removals of entries of unknown targets are recorded only while fewer removals than this are stored.
-constexpr std::size_t MaximumRemovals = 10000;
-
 /// A target is cold for this long at most, whatever its entry says: one wrong entry must not limit it for
 /// good.
 constexpr Duration LongestColdTime = std::chrono::minutes(10);
@@ -25,14 +22,17 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-void TargetDirectory::setServices(std::set<std::string, std::less<>> services, TimePoint /*now*/)
+void TargetDirectory::setServices(std::set<std::string, std::less<>> services, TimePoint now)
 {
-    m_services = std::move(services);
-    for (auto &[key, target] : m_targets) {
-        if (target.isAssigned || !m_services.contains(target.record.service)) {
-            continue;
+    std::set<std::string, std::less<>> added;
+    for (const std::string &service : services) {
+        if (m_knownServices.insert(service).second) {
+            added.insert(service);
         }
-        target.isAssigned = true;
+    }
+    m_services = std::move(services);
+    if (!added.empty()) {
+        considerServices(added, now);
     }
     for (const auto &[key, target] : m_targets) {
         assignAddress(target.record.address);
@@ -40,135 +40,54 @@
     m_areIndexesStale = true;
 }
 
-/// Returns the target that an entry of this name belongs to: the start that is believed.
-KnownTarget *TargetDirectory::targetNamed(const std::string &name)
-{
-    const auto named = m_byName.find(name);
-    return named == m_byName.end() ? nullptr : find(named->second);
-}
-
-/// Returns whether a newer entry, or the removal of this one, is already known. An entry of a later start
-/// than the one that is believed is news even if the store has put a late write of an earlier one in its
-/// place.
-bool TargetDirectory::isOutdated(const TargetRecord &record)
+/// Takes the entries of services that are named for the first time for those of targets.
+void TargetDirectory::considerServices(const std::set<std::string, std::less<>> &added, TimePoint now)
 {
-    if (const auto removal = m_removals.find(record.name);
-        removal != m_removals.end() && removal->second >= record.revision) {
-        return true;
-    }
-    const KnownTarget *const known = targetNamed(record.name);
-    if (known != nullptr && startsLater(record, *known)) {
-        return false;
-    }
-    const auto held = m_held.find(record.name);
-    const bool isReplaced = held != m_held.end() && held->second.record.revision >= record.revision;
-    const KnownTarget *const start = find(record.identity.key());
-    if (start != nullptr && start->end == TargetEnd::AnsweredByOther
-        && start->record.revision >= record.revision) {
-        // The end of the target is known here but not published yet.
-        return true;
-    }
-    const bool isOfKnownStart = known != nullptr && known->key == record.identity.key();
-    return (isReplaced && !isOfKnownStart) || (known != nullptr && known->record.revision > record.revision);
-}
-
-/// Returns whether an entry claims the identity of a target that is published under another name or, as far
-/// as the configuration tells, for another service.
-bool TargetDirectory::isConflicting(const TargetRecord &record, bool isNamed)
-{
-    const KnownTarget *const known = find(record.identity.key());
-    if (known == nullptr || !known->isAssigned) {
-        return false;
-    }
-    const bool isOtherService = !isNamed && known->record.service != record.service;
-    return known->record.name != record.name || isOtherService;
-}
-
-/// Ends the previous start of a target that has restarted under the same id: its flows are lost. An entry
-/// whose service is not named proves no restart, but it has replaced the entry of the target.
-void TargetDirectory::endPreviousStart(const TargetRecord &record, bool isNamed, TimePoint now)
-{
-    KnownTarget *const previous = targetNamed(record.name);
-    if (previous == nullptr || previous->key == record.identity.key()) {
-        return;
-    }
-    if (isNamed || !previous->isAssigned) {
-        const bool isLater = startsLater(record, *previous);
-        markGone(*previous, isLater ? TargetEnd::LaterStart : TargetEnd::EarlierStart, now);
-    } else {
-        lapse(*previous, now);
+    std::vector<TargetRecord> records;
+    m_entries.forEach([&](const TargetRecord &record) {
+        if (added.contains(record.service) && !m_held.contains(record.name)) {
+            records.push_back(record);
+        }
+    });
+    for (const TargetRecord &record : records) {
+        consider(record, now);
     }
 }
 
 void TargetDirectory::put(const TargetRecord &record, TimePoint now)
 {
     raiseEra(record, now);
-    if (isOutdated(record)) {
-        return;
+    if (m_entries.put(record)) {
+        consider(record, now);
+    } else if (!m_entries.isRemoved(record)) {
+        considerReplaced(record, now);
     }
-    if (const Duration grace = holdTime(record, now); grace > Duration::zero()) {
-        hold(record, grace, now);
-        return;
-    }
-    const KnownTarget *const known = targetNamed(record.name);
-    if (known != nullptr && known->record.revision > record.revision) {
-        // What stands in the store is a late write of the earlier start that was believed until now.
-        hold(known->record, m_timing.rivalGrace, now);
-    }
-    if (const auto held = m_held.find(record.name);
-        held != m_held.end() && held->second.record.revision < record.revision) {
-        m_held.erase(held);
-    }
-    apply(record, now);
 }
 
-void TargetDirectory::apply(const TargetRecord &record, TimePoint now)
+/// Takes over the record of a target, and what it says of its slow start.
+void TargetDirectory::setRecord(KnownTarget &target, const TargetRecord &record, bool isNew, TimePoint now)
 {
-    const std::uint64_t key = record.identity.key();
-    const bool isNamed = m_services.contains(record.service);
-    if (isConflicting(record, isNamed)) {
-        ++m_conflictingEntries;
-        remove(record.name, record.revision, now);
-        return;
-    }
-    endPreviousStart(record, isNamed, now);
-    const auto [position, isNew] = m_targets.try_emplace(key);
-    KnownTarget &target = position->second;
     const bool wasDraining = target.record.isDraining;
     // The copy of an entry that was known before the store was restored says nothing new of the slow start.
-    const bool isKnownEntry = eraOf(target.record.revision) < eraOf(record.revision)
-        || (m_era > 0 && target.record.revision == record.revision);
-    const bool isCopied = !isNew && isKnownEntry;
-    if (isNew || (!isCopied && record.revision != target.record.revision)) {
+    const bool isCopied = !isNew && eraOf(target.record.revision) < eraOf(record.revision);
+    if (!isCopied) {
         target.coldUntil
             = std::max<TimePoint>(target.coldUntil, now + std::min(record.warmUpLeft, LongestColdTime));
+        target.warmUpEndsAt = now + record.warmUpLeft;
     }
     releaseAddress(target);
     target.record = record;
-    target.key = key;
-    target.isAssigned = target.isAssigned || isNamed;
     claimAddress(target);
-    if (!isCopied) {
-        target.warmUpEndsAt = now + record.warmUpLeft;
-    }
-    if (isNew || target.presence != TargetPresence::Listed) {
-        setPresence(target, TargetPresence::Listed, now);
-    }
     if (record.isDraining && !wasDraining) {
         target.drainingSince = now;
     }
-    m_byName[record.name] = key;
-    assignAddress(record.address);
-    m_areIndexesStale = true;
 }
 
 /// Returns whether the entry of a target stands in the store.
 bool TargetDirectory::isPublished(const KnownTarget &target) const
 {
-    const auto named = m_byName.find(target.record.name);
-    const auto removal = m_removals.find(target.record.name);
-    const bool isRemoved = removal != m_removals.end() && removal->second >= target.record.revision;
-    return named != m_byName.end() && named->second == target.key && !isRemoved
+    const NamedStart *const start = startNamed(target.record.name);
+    return start != nullptr && start->isStanding && start->record.identity == target.record.identity
         && !m_held.contains(target.record.name);
 }
 
@@ -201,19 +120,9 @@
 
 void TargetDirectory::remove(const std::string &name, std::uint64_t revision, TimePoint now)
 {
-    KnownTarget *const target = targetNamed(name);
-    if (target == nullptr && m_removals.size() >= MaximumRemovals) {
-        markRemovalsUnknownUpTo(revision);
-        return;
-    }
-    std::uint64_t &removal = m_removals[name];
-    removal = std::max(removal, revision);
-    if (const auto held = m_held.find(name);
-        held != m_held.end() && held->second.record.revision <= revision) {
-        m_held.erase(held);
-    }
-    if (target != nullptr && target->record.revision <= revision) {
-        lapse(*target, now);
+    if (m_entries.remove(name, revision, now)) {
+        m_held.erase(name);
+        markMissing(name, now);
     }
 }
 
@@ -225,20 +134,35 @@
         names.insert(record.name);
         put(record, now);
     }
-    dropHeldRecords(names, revision);
-    std::vector<std::string> missing;
-    for (const auto &[key, target] : m_targets) {
-        const bool isMissing = target.presence == TargetPresence::Listed
-            && !names.contains(target.record.name) && target.record.revision <= revision;
-        if (isMissing) {
-            missing.push_back(target.record.name);
-        }
-    }
-    for (const std::string &name : missing) {
+    for (const std::string &name : m_entries.missingFrom(names, revision)) {
         remove(name, revision, now);
     }
 }
 
+std::vector<TargetRecord> TargetDirectory::recordsAfter(StoreRevision revision, TimePoint now) const
+{
+    std::vector<TargetRecord> records;
+    const auto add = [&](const TargetRecord &record) {
+        if (record.revision <= revision) {
+            return;
+        }
+        records.push_back(record);
+        const auto found = m_targets.find(record.identity.key());
+        if (found != m_targets.end() && found->second.record.revision == record.revision) {
+            const TimePoint coldUntil = std::max(found->second.warmUpEndsAt, found->second.coldUntil);
+            records.back().warmUpLeft = std::max<Duration>(coldUntil - now, Duration::zero());
+        }
+    };
+    for (const auto &[name, start] : m_starts) {
+        const TargetRecord *const standing = m_entries.find(name);
+        if (standing == nullptr || standing->revision != start.record.revision) {
+            add(start.record);
+        }
+    }
+    m_entries.forEach(add);
+    return records;
+}
+
 void TargetDirectory::markCold(std::uint64_t key, Duration duration, TimePoint now)
 {
     if (KnownTarget *const target = find(key)) {
@@ -270,6 +194,7 @@
     TimePoint now, const std::function<void(std::uint64_t)> &forget, TimePoint provedAt)
 {
     m_evacuations.expire(m_timing.lapseGrace, now);
+    m_entries.forgetRemovals(now - m_timing.tombstoneLifetime);
     applyHeldRecords(provedAt, now);
     for (auto position = m_watched.begin(); position != m_watched.end();) {
         const std::uint64_t key = *position;
@@ -277,7 +202,7 @@
         assert(found != m_targets.end() && "a watched target must be known");
         KnownTarget &target = found->second;
         if (target.presence == TargetPresence::Lapsed && now - target.presenceSince >= m_timing.lapseGrace) {
-            markGone(target, TargetEnd::EntryMissing, now);
+            drop(std::string(target.record.name), TargetEnd::EntryMissing, now);
         }
         const bool wasWronglyProved = target.end == TargetEnd::AnsweredByOther && isPublished(target)
             && std::min(now, provedAt) - target.presenceSince >= m_timing.rivalGrace;
@@ -293,22 +218,15 @@
         if (isForgotten) {
             forget(key);
             eraseTarget(found);
+            // An entry that stands all the same is that of another target now.
+            refreshTarget(key, TargetEnd::EntryMissing, now);
         }
     }
 }
 
 void TargetDirectory::eraseTarget(std::map<std::uint64_t, KnownTarget>::iterator position)
 {
-    const auto &[key, target] = *position;
-    if (const auto named = m_byName.find(target.record.name);
-        named != m_byName.end() && named->second == key) {
-        m_byName.erase(named);
-        if (const auto removal = m_removals.find(target.record.name); removal != m_removals.end()) {
-            markRemovalsUnknownUpTo(removal->second);
-            m_removals.erase(removal);
-        }
-    }
-    releaseAddress(target);
+    releaseAddress(position->second);
     m_targets.erase(position);
     m_areIndexesStale = true;
 }
@@ -368,17 +286,6 @@
     return found == m_byService.end() ? none : found->second;
 }
 
-std::vector<TargetRemoval> TargetDirectory::removalsAfter(std::uint64_t revision) const
-{
-    std::vector<TargetRemoval> removals;
-    for (const auto &[name, removal] : m_removals) {
-        if (removal > revision) {
-            removals.push_back({name, removal});
-        }
-    }
-    return removals;
-}
-
 std::vector<std::string> TargetDirectory::silentDataCentres(
     const std::string &own, Duration patience, TimePoint now) const
 {
@@ -399,9 +306,9 @@
 
 std::size_t TargetDirectory::unassignedCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [](const auto &item) {
-        return item.second.presence == TargetPresence::Listed && !item.second.isAssigned;
-    }));
+    std::size_t count = 0;
+    m_entries.forEach([&](const TargetRecord &record) { count += isAssigned(record.service) ? 0 : 1; });
+    return count;
 }
 
 } // namespace jasminequay
--- a/unittests/Fleet/foreignentrytest.cpp
+++ b/unittests/Fleet/foreignentrytest.cpp
@@ -83,4 +83,33 @@
     }
 }
 
+/// Guards against living targets that end at some instances because another program removes its copies of
+/// their entries: a complete list names the copies first, and peers pass both on (docs/incidents/16.md).
+TEST(ForeignEntries, ThatCopyTargetsMayComeAndGo)
+{
+    FakeCluster cluster({6, 2});
+    const std::vector<TargetRecord> targets = cluster.store.readAll().update.targets;
+    for (TargetRecord copy : targets) {
+        copy.name = "copy-" + std::to_string(copy.identity.id);
+        copy.service = "asset-inventory";
+        cluster.store.put(copy);
+    }
+    cluster.run(seconds(6));
+    EXPECT_EQ(listedAt(cluster), 6U) << "from complete reads";
+    for (const std::size_t number : {1U, 4U}) {
+        cluster.cutStore(number);
+        cluster.start(number);
+    }
+    cluster.run(seconds(4));
+    EXPECT_EQ(listedAt(cluster), 6U) << "from peers";
+    for (const TargetRecord &target : targets) {
+        cluster.store.remove("copy-" + std::to_string(target.identity.id));
+    }
+    cluster.run(seconds(6));
+    EXPECT_EQ(listedAt(cluster), 6U) << "after their removal";
+    for (const FakeMember &member : cluster.members) {
+        EXPECT_EQ(member.engine->targets().targetsOfService("desk").size(), targets.size());
+    }
+}
+
 } // namespace jasminequay::fleet
--- a/unittests/Steering/foreignentrytest.cpp
+++ b/unittests/Steering/foreignentrytest.cpp
@@ -149,4 +149,114 @@
     EXPECT_EQ(instance.take(dataOf(1, placed.token, 1001, 5000, 10)).action, SteeringAction::Forward);
 }
 
+/// An instance that hears of a target and of a copy of its entry, which another program keeps under a name
+/// with the same digits for a service that no route names.
+class CopiedEntry : public testing::TestWithParam<int>
+{
+protected:
+    CopiedEntry()
+    {
+        directory.setServices({"desk"}, Start);
+    }
+
+    static TargetRecord copyOf(std::uint32_t number, std::uint64_t revision)
+    {
+        TargetRecord copy = targetOf(number, revision);
+        copy.name = "copy-" + std::to_string(number);
+        copy.service = "asset-inventory";
+        return copy;
+    }
+
+    /// Tells the directory of the copy and of the target in the order and by the way of the parameter.
+    void hear()
+    {
+        const std::vector<TargetRecord> copyFirst{copyOf(0, 3), targetOf(0, 2)};
+        const std::vector<TargetRecord> targetFirst{targetOf(0, 2), copyOf(0, 3)};
+        const std::vector<TargetRecord> &order = GetParam() % 2 == 0 ? copyFirst : targetFirst;
+        if (GetParam() < 2) {
+            directory.replaceAll(order, 5, Start);
+            return;
+        }
+        for (const TargetRecord &record : order) {
+            directory.put(record, Start);
+        }
+    }
+
+    void expectListed(TimePoint now)
+    {
+        directory.expire(now, [](std::uint64_t) {});
+        ASSERT_EQ(directory.targetsOfService("desk").size(), 1U);
+        const KnownTarget &target = *directory.targetsOfService("desk").front();
+        EXPECT_EQ(target.presence, TargetPresence::Listed);
+        EXPECT_EQ(target.record.name, "i-0");
+    }
+
+    TargetDirectory directory;
+};
+
+/// Guards against living targets that are taken for gone because another program removes its copies of their
+/// entries: all their flows were reset and all new ones refused for good (docs/incidents/16.md, review/8).
+TEST_P(CopiedEntry, MayBeRemoved)
+{
+    hear();
+    expectListed(Start + milliseconds(1));
+    directory.remove("copy-0", 9, Start + milliseconds(2));
+    expectListed(Start + seconds(20));
+}
+
+/// Guards against the same by a complete list that lacks the copy.
+TEST_P(CopiedEntry, MayBeMissingFromACompleteList)
+{
+    hear();
+    directory.replaceAll({targetOf(0, 2)}, 9, Start + milliseconds(2));
+    expectListed(Start + seconds(20));
+}
+
+/// Guards against a copy that keeps a target listed whose own entry is gone.
+TEST_P(CopiedEntry, DoesNotStandForTheTarget)
+{
+    hear();
+    directory.remove("i-0", 9, Start);
+    directory.expire(Start + seconds(3), [](std::uint64_t) {});
+    EXPECT_EQ(directory.find(targetOf(0).identity.key())->presence, TargetPresence::Gone);
+    EXPECT_TRUE(directory.targetsOfService("desk").empty());
+    directory.put(targetOf(0, 10), Start + seconds(3));
+    expectListed(Start + seconds(20));
+}
+
+/// Guards against a target that is known by its copy only because the copy was heard before the routes that
+/// name the target's service.
+TEST_P(CopiedEntry, GivesWayWhenTheRoutesNameTheService)
+{
+    directory = TargetDirectory();
+    hear();
+    directory.setServices({"desk"}, Start);
+    expectListed(Start + milliseconds(1));
+    directory.remove("copy-0", 9, Start + milliseconds(2));
+    expectListed(Start + seconds(20));
+}
+
+INSTANTIATE_TEST_SUITE_P(OrdersAndWays, CopiedEntry, testing::Range(0, 4));
+
+/// Guards against a joiner that resets the flows of a target whose service the routes no longer name: only a
+/// copy of its entry is removed.
+TEST(CopiedEntries, OfAServiceThatIsNoLongerNamedEndNothing)
+{
+    for (const bool isCopyFirst : {true, false}) {
+        TargetDirectory joiner;
+        joiner.setServices({"other"}, Start);
+        TargetRecord copy = targetOf(0, 3);
+        copy.name = "copy-0";
+        copy.service = "asset-inventory";
+        joiner.put(isCopyFirst ? copy : targetOf(0, 2), Start);
+        joiner.put(isCopyFirst ? targetOf(0, 2) : copy, Start);
+        joiner.remove("copy-0", 9, Start);
+        joiner.expire(Start + seconds(20), [](std::uint64_t) {});
+        const KnownTarget *const target = joiner.find(targetOf(0).identity.key());
+        ASSERT_NE(target, nullptr);
+        EXPECT_EQ(target->presence, TargetPresence::Listed) << isCopyFirst;
+        EXPECT_EQ(target->record.name, "i-0") << isCopyFirst;
+    }
+}
+
 } // namespace jasminequay::steering
