Time counts against a target only while the store is observed

Cause: a missing entry ended its target 2.3 s after it was heard of, also if the store was away or the instance paused or cut off meanwhile: the target could not write, or the instance could not hear of it. Change: the directory notes when the store was last reached; a gap longer than what counts as current begins the grace of missing entries, held entries and refuted probes anew, and all of them need a proof that is younger than their time. Entries under one name that two unnamed services claim end nothing. OnlyFlowsOfAGoneTargetAreReset now says when the store was read, and wants no reset before.

--- a/include/jasminequay/Fleet/readerplan.h
+++ b/include/jasminequay/Fleet/readerplan.h
@@ -22,6 +22,8 @@
     Duration timeout;
     /// How old the reader's latest information may become before another instance reads.
     Duration takeover;
+    /// How old information may become and still count as current. A reader's answers arrive more often.
+    Duration currency;
     /// How much later each subsequent instance in the reader order takes over.
     Duration stagger;
     /// How long an instance waits for its peers before the first read, when the whole fleet starts for the
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -28,6 +29,9 @@
     /// have several writes that the store does seconds late; the last of them is removed after three
     /// heartbeat intervals.
     Duration rivalGrace = std::chrono::seconds(10);
+    /// If the store has shown no sign of life for longer, its observation was interrupted. What has to be
+    /// missing or to stand for some time has to be so without an interruption.
+    Duration observationGap = std::chrono::milliseconds(1500);
     /// How long an ended target is kept: the maximum lifetime of a flow.
     Duration tombstoneLifetime = std::chrono::seconds(60);
 };
@@ -68,11 +72,15 @@
     /// entry is written anew, or stands for longer than that of a silent target can.
     void markReplaced(std::uint64_t key, TimePoint now);
 
-    /// Marks lapsed targets as ended after the grace period, applies the held entries that still stood at
-    /// `provedAt`, the latest time up to which all changes are known, and erases targets whose tombstone
-    /// lifetime is over. `forget` is called with the key of each erased target.
+    /// Records that the store was reached at a time.
+    void observe(TimePoint at);
+
+    /// Marks lapsed targets as ended after the grace period, applies held entries that have stood for long
+    /// enough, and erases targets whose tombstone lifetime is over. Time counts only while the store is
+    /// observed: `provedAt` is the latest time up to which all changes are known, by default now. `forget` is
+    /// called with the key of each erased target.
     void expire(TimePoint now, const std::function<void(std::uint64_t)> &forget,
-        TimePoint provedAt = TimePoint::max());
+        std::optional<TimePoint> provedAt = std::nullopt);
 
     /// Returns the target with a token; null if no target or more than one has it.
     [[nodiscard]] KnownTarget *findByToken(SteeringToken token);
@@ -182,19 +190,22 @@
     /// An entry that contradicts what is known of its target, and does not count yet.
     struct HeldRecord {
         TargetRecord record;
-        TimePoint until; ///< When it counts unless a newer one comes.
+        TimePoint since; ///< When its start was first held back.
+        Duration grace; ///< How long it must stand before it counts.
     };
 
     [[nodiscard]] bool isAssigned(const std::string &service) const;
     [[nodiscard]] const NamedStart *startNamed(const std::string &name) const;
     [[nodiscard]] const NamedStart *ownerOf(std::uint64_t key) const;
+    [[nodiscard]] bool isOfSameTarget(const TargetRecord &left, const TargetRecord &right) const;
     [[nodiscard]] bool startsLater(const TargetRecord &record, const TargetRecord &other) const;
     [[nodiscard]] bool isOfEarlierStart(const TargetRecord &record) const;
     [[nodiscard]] bool isFromOlderCopy(const TargetRecord &record) const;
     [[nodiscard]] Duration holdTime(const TargetRecord &record, TimePoint now) const;
     void hold(const TargetRecord &record, Duration grace, TimePoint now);
     void raiseEra(const TargetRecord &record, TimePoint now);
-    void applyHeldRecords(TimePoint provedAt, TimePoint now);
+    void applyHeldRecords(TimePoint now);
+    [[nodiscard]] Duration observedSince(TimePoint since) const;
     void considerServices(const std::set<std::string, std::less<>> &added, TimePoint now);
     void consider(const TargetRecord &record, TimePoint now);
     void considerReplaced(const TargetRecord &record, TimePoint now);
@@ -227,6 +238,9 @@
     std::unordered_map<std::string, HeldRecord> m_held; ///< By name.
     std::uint32_t m_era = 0; ///< The highest era of an entry.
     TimePoint m_eraSince; ///< When the first entry of this era came.
+    TimePoint m_provedAt; ///< The latest time up to which all changes are known.
+    TimePoint m_observedAt; ///< When the store was last reached.
+    TimePoint m_observedSince; ///< Since when the store has been reached without an interruption.
     /// The keys of all targets that have published each address.
     std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> m_byAddress;
     EvacuationTable m_evacuations;
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -207,6 +207,9 @@
     for (const TargetRecord &record : update.tombstones) {
         m_engine.targets().addTombstone(record, now);
     }
+    if (update.revision > m_revision) {
+        m_engine.targets().observe(now);
+    }
     m_revision = std::max(m_revision, update.revision);
     if (!m_isLoaded && m_engine.routes().configuration().version > 0) {
         m_isLoaded = true;
--- a/lib/Fleet/readerplan.cpp
+++ b/lib/Fleet/readerplan.cpp
@@ -54,6 +54,7 @@
     timing.minimumInterval = settingsBound / MaximumReadsPerBound;
     timing.timeout = AnswerTimeout;
     timing.takeover = timing.wait + timing.wait / 4;
+    timing.currency = timing.wait + timing.wait / 2;
     timing.stagger = TakeoverStagger;
     timing.startDelay = FirstStartDelay;
     return timing;
--- a/lib/Node/steeringcontrol.cpp
+++ b/lib/Node/steeringcontrol.cpp
@@ -33,7 +33,8 @@
     engine.flowLifetime = settings.flowLifetime;
     engine.features = settings.features;
     // A reader's confirmation of the state of the store arrives once in each wait of its watch.
-    engine.refusalAge = readerTiming(settings.settingsBound).wait * 3 / 2;
+    engine.refusalAge = readerTiming(settings.settingsBound).currency;
+    engine.directory.observationGap = engine.refusalAge;
     engine.directory.tombstoneLifetime = settings.flowLifetime;
     return engine;
 }
--- a/lib/Steering/directorystarts.cpp
+++ b/lib/Steering/directorystarts.cpp
@@ -49,6 +49,13 @@
     return needsAssigned && !isAssigned(owner->record.service) ? nullptr : owner;
 }
 
+/// Returns whether two entries under one name may be those of one target. Two services that no route has
+/// named are not told apart from those of other programs.
+bool TargetDirectory::isOfSameTarget(const TargetRecord &left, const TargetRecord &right) const
+{
+    return left.service == right.service || (isAssigned(left.service) && isAssigned(right.service));
+}
+
 /// Returns whether an entry is of a later start than another one of its name. The time of a start orders the
 /// starts under one id, unless the clock was set back in between: a start that has ended is not a later one.
 /// What peers say of its end does not count, as its own entry says more.
@@ -64,12 +71,8 @@
 /// start has ended: a write that the store has done late, or the first entry after a clock was set back.
 bool TargetDirectory::isOfEarlierStart(const TargetRecord &record) const
 {
-    const NamedStart *const known = startNamed(record.name);
-    if (!isAssigned(record.service)) {
-        return false;
-    }
-    if (known != nullptr) {
-        return isAssigned(known->record.service) && known->record.identity != record.identity
+    if (const NamedStart *const known = startNamed(record.name)) {
+        return isOfSameTarget(record, known->record) && known->record.identity != record.identity
             && !startsLater(record, known->record);
     }
     const auto start = m_targets.find(record.identity.key());
@@ -133,11 +136,11 @@
 /// Holds an entry back. Its time does not start again when the same start writes it again.
 void TargetDirectory::hold(const TargetRecord &record, Duration grace, TimePoint now)
 {
-    const auto [position, isNew] = m_held.try_emplace(record.name, HeldRecord{record, now + grace});
+    const auto [position, isNew] = m_held.try_emplace(record.name, HeldRecord{record, now, grace});
     if (HeldRecord &held = position->second; !isNew) {
         const bool isSameStart = held.record.identity == record.identity
             && eraOf(held.record.revision) == eraOf(record.revision);
-        held = HeldRecord{record, isSameStart ? held.until : now + grace};
+        held = HeldRecord{record, isSameStart ? held.since : now, isSameStart ? held.grace : grace};
     }
 }
 
@@ -145,8 +148,9 @@
 void TargetDirectory::consider(const TargetRecord &record, TimePoint now)
 {
     const NamedStart *const known = startNamed(record.name);
-    const bool isForeign
-        = known != nullptr && isAssigned(known->record.service) && !isAssigned(record.service);
+    const bool isSameStart = known != nullptr && known->record.identity == record.identity;
+    const bool isForeign = known != nullptr && !isAssigned(record.service)
+        && !isOfSameTarget(record, known->record) && (!isSameStart || isAssigned(known->record.service));
     if (isForeign) {
         // Another program has replaced the entry of the target, which counts as missing.
         m_held.erase(record.name);
@@ -165,15 +169,14 @@
 {
     const NamedStart *const known = startNamed(record.name);
     const TargetRecord *const standing = m_entries.find(record.name);
-    if (known == nullptr || standing == nullptr || !isAssigned(known->record.service)
-        || !isAssigned(record.service)) {
+    if (known == nullptr || standing == nullptr || !isOfSameTarget(record, known->record)) {
         return;
     }
     const bool isSameStart = known->record.identity == record.identity;
     if (isSameStart && known->record.revision < record.revision) {
         accept(record, known->isStanding, now);
     } else if (!isSameStart && startsLater(record, known->record)) {
-        const bool isRival = isAssigned(standing->service);
+        const bool isRival = isOfSameTarget(record, *standing);
         if (isRival) {
             hold(*standing, m_timing.rivalGrace, now);
         }
@@ -279,11 +282,26 @@
     m_areIndexesStale = true;
 }
 
-void TargetDirectory::applyHeldRecords(TimePoint provedAt, TimePoint now)
+void TargetDirectory::observe(TimePoint at)
+{
+    if (at - m_observedAt > m_timing.observationGap) {
+        m_observedSince = at;
+    }
+    m_observedAt = std::max(m_observedAt, at);
+}
+
+/// Returns for how long the store has been observed after a time, without interruption and up to the time to
+/// which all changes are known.
+Duration TargetDirectory::observedSince(TimePoint since) const
+{
+    return m_provedAt - std::max(since, m_observedSince);
+}
+
+void TargetDirectory::applyHeldRecords(TimePoint now)
 {
     std::vector<TargetRecord> due;
     for (const auto &[name, held] : m_held) {
-        if (std::min(now, provedAt) >= held.until) {
+        if (observedSince(held.since) >= held.grace) {
             due.push_back(held.record);
         }
     }
--- a/lib/Steering/steeringengine.cpp
+++ b/lib/Steering/steeringengine.cpp
@@ -55,6 +55,7 @@
 void SteeringEngine::markCurrentAt(TimePoint at)
 {
     m_currentAt = std::max(m_currentAt, at);
+    m_targets.observe(at);
     if (m_loadedAt == TimePoint{}) {
         m_loadedAt = at;
     }
--- a/lib/Steering/targetdirectory.cpp
+++ b/lib/Steering/targetdirectory.cpp
@@ -191,21 +191,25 @@
 }
 
 void TargetDirectory::expire(
-    TimePoint now, const std::function<void(std::uint64_t)> &forget, TimePoint provedAt)
+    TimePoint now, const std::function<void(std::uint64_t)> &forget, std::optional<TimePoint> provedAt)
 {
+    m_provedAt = provedAt ? std::min(*provedAt, now) : now;
     m_evacuations.expire(m_timing.lapseGrace, now);
     m_entries.forgetRemovals(now - m_timing.tombstoneLifetime);
-    applyHeldRecords(provedAt, now);
+    applyHeldRecords(now);
     for (auto position = m_watched.begin(); position != m_watched.end();) {
         const std::uint64_t key = *position;
         const auto found = m_targets.find(key);
         assert(found != m_targets.end() && "a watched target must be known");
         KnownTarget &target = found->second;
-        if (target.presence == TargetPresence::Lapsed && now - target.presenceSince >= m_timing.lapseGrace) {
+        const bool isMissing = target.presence == TargetPresence::Lapsed
+            && (observedSince(target.presenceSince) >= m_timing.lapseGrace
+                || now - target.presenceSince >= m_timing.tombstoneLifetime);
+        if (isMissing) {
             drop(std::string(target.record.name), TargetEnd::EntryMissing, now);
         }
         const bool wasWronglyProved = target.end == TargetEnd::AnsweredByOther && isPublished(target)
-            && std::min(now, provedAt) - target.presenceSince >= m_timing.rivalGrace;
+            && observedSince(target.presenceSince) >= m_timing.rivalGrace;
         if (wasWronglyProved) {
             setPresence(target, TargetPresence::Listed, now);
             m_areIndexesStale = true;
--- a/unittests/Fleet/fakecluster.cpp
+++ b/unittests/Fleet/fakecluster.cpp
@@ -47,6 +47,7 @@
     member.control.reset();
     SteeringSettings engine;
     engine.dataCentre = "dc-" + std::to_string(dataCentreOf(number));
+    engine.directory.observationGap = readerTiming(m_shape.settingsBound).currency;
     member.engine = std::make_unique<SteeringEngine>(engine);
     FleetSettings settings;
     settings.control = addressOf(number);
--- a/unittests/Steering/enginetest.cpp
+++ b/unittests/Steering/enginetest.cpp
@@ -102,7 +102,13 @@
         placed.push_back(instance.open(caller));
     }
     instance.engine.targets().remove("i-0", 9, instance.now);
+    for (const Duration later : {seconds(1), seconds(2)}) {
+        instance.engine.markCurrentAt(instance.now + later);
+    }
     EXPECT_TRUE(instance.engine.sweep(instance.now + seconds(2), 100).empty()) << "the entry may return";
+    EXPECT_TRUE(instance.engine.sweep(instance.now + milliseconds(2400), 100).empty())
+        << "it may have returned, as the store has not been read since";
+    instance.engine.markCurrentAt(instance.now + milliseconds(2400));
     const std::vector<PendingReset> resets = instance.engine.sweep(instance.now + milliseconds(2400), 100);
     EXPECT_EQ(resets.size(), 20U);
     for (const PendingReset &reset : resets) {
--- a/unittests/Steering/latewritetest.cpp
+++ b/unittests/Steering/latewritetest.cpp
@@ -12,6 +12,20 @@
 /// How long an entry that contradicts a target must stand before it counts.
 constexpr Duration RivalGrace = DirectoryTiming().rivalGrace;
 
+/// Advances the time of an instance in steps, at each of which the store has been read; returns the resets.
+static std::vector<PendingReset> runWhileRead(SteeredInstance &instance, Duration duration)
+{
+    constexpr Duration Step = milliseconds(500);
+    std::vector<PendingReset> resets;
+    for (const TimePoint end = instance.now + duration; instance.now < end;) {
+        instance.now = std::min(instance.now + Step, end);
+        instance.engine.markCurrentAt(instance.now);
+        const std::vector<PendingReset> further = instance.engine.sweep(instance.now, 100);
+        resets.insert(resets.end(), further.begin(), further.end());
+    }
+    return resets;
+}
+
 /// An instance with a target that has started again under its id, and an open flow at the running start.
 class LateWriteOfAnEarlierStart : public testing::Test
 {
@@ -37,12 +51,10 @@
         instance.engine.targets().put(record, instance.now);
     }
 
-    /// Advances the time while the store is read.
+    /// Advances the time while the store is read; returns the resets.
     std::vector<PendingReset> run(Duration duration)
     {
-        instance.now += duration;
-        instance.engine.markCurrentAt(instance.now);
-        return instance.engine.sweep(instance.now, 100);
+        return runWhileRead(instance, duration);
     }
 
     TargetPresence presenceOf(const TargetRecord &record)
@@ -124,6 +136,7 @@
 /// stands as long as its entry, which its heartbeats renew.
 TEST_F(LateWriteOfAnEarlierStart, CountsOnceItHasOutlastedWhatALateWriteCanDo)
 {
+    run(seconds(1));
     put(earlier(9));
     run(RivalGrace - milliseconds(100));
     expectServing(40);
@@ -179,17 +192,10 @@
         instance.engine.targets().put(record, instance.now);
     }
 
-    /// Advances the time in steps while the store is read; returns the resets.
+    /// Advances the time while the store is read; returns the number of resets.
     std::size_t run(Duration duration)
     {
-        std::size_t resets = 0;
-        constexpr Duration Step = milliseconds(500);
-        for (Duration done{}; done < duration; done += Step) {
-            instance.now += Step;
-            instance.engine.markCurrentAt(instance.now);
-            resets += instance.engine.sweep(instance.now, 100).size();
-        }
-        return resets;
+        return runWhileRead(instance, duration).size();
     }
 
     /// Expects that the successor keeps its flow, and whether it gets new ones.
@@ -251,6 +257,7 @@
 /// heartbeats renew its entry.
 TEST_F(LateWriteOfAFormerTarget, IsNotBelievedForGoodByAProbe)
 {
+    run(seconds(1));
     instance.engine.targets().markReplaced(successor(0).identity.key(), instance.now);
     run(RivalGrace - seconds(1));
     EXPECT_EQ(instance.target(0, 700).presence, TargetPresence::Gone);
