Restored stores: a second restore and a new entry of a target that drained

Cause: two more ends that depended on the order in which things were heard, both with restored stores. A second restore within the grace of a missing entry did not begin it anew, though it may have undone the write that brought the entry back. And an entry that was written again after a restore was held back as one of the copy, if its target had been draining before, while the target went on counting as missing. Change: a new era is an interruption of the observation. An entry that replaces another one, or a removal, of the same era was written in it, so it counts at once. While an entry of the same start is held back, the target counts as published.

--- a/include/jasminequay/Steering/entrytable.h
+++ b/include/jasminequay/Steering/entrytable.h
@@ -36,6 +36,9 @@
     /// Returns whether the removal of an entry is known.
     [[nodiscard]] bool isRemoved(const TargetRecord &record) const;
 
+    /// Returns the highest revision of a removal of an entry; zero if none is known.
+    [[nodiscard]] StoreRevision removedAt(const std::string &name) const;
+
     /// Calls a function with each entry that stands.
     void forEach(const std::function<void(const TargetRecord &)> &function) const;
 
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -210,6 +210,7 @@
     void consider(const TargetRecord &record, TimePoint now);
     void considerReplaced(const TargetRecord &record, TimePoint now);
     void accept(const TargetRecord &record, bool isStanding, TimePoint now);
+    void markStanding(const std::string &name, TimePoint now);
     void markMissing(const std::string &name, TimePoint now);
     void drop(const std::string &name, TargetEnd end, TimePoint now);
     void releaseClaim(std::uint64_t key, const std::string &name);
--- a/lib/Steering/directorystarts.cpp
+++ b/lib/Steering/directorystarts.cpp
@@ -113,12 +113,14 @@
     if (const std::uint32_t era = eraOf(record.revision); era > m_era) {
         m_era = era;
         m_eraSince = now;
+        // What was missing from the store before has the whole grace to return.
+        m_observedSince = now;
     }
 }
 
-/// Returns how long an entry must stand before it counts; zero if it counts at once. In a new era, a newer
-/// entry of the same era shows that it was written again, and what comes later than the grace period after
-/// the begin of an era was written in it.
+/// Returns how long an entry must stand before it counts; zero if it counts at once. In a new era, an entry
+/// that replaces another one or a removal of the same era was written in it, and so was what comes later than
+/// the grace period after its begin.
 Duration TargetDirectory::holdTime(const TargetRecord &record, TimePoint now) const
 {
     if (isOfEarlierStart(record)) {
@@ -126,8 +128,9 @@
     }
     const auto held = m_held.find(record.name);
     const bool isRepeated = held != m_held.end() && held->second.record.revision == record.revision;
-    const bool isWrittenAgain = held != m_held.end() && !isRepeated
-        && eraOf(held->second.record.revision) == eraOf(record.revision);
+    const StoreRevision replaced = held == m_held.end() || isRepeated ? m_entries.removedAt(record.name)
+                                                                      : held->second.record.revision;
+    const bool isWrittenAgain = replaced > 0 && eraOf(replaced) == eraOf(record.revision);
     const bool isEraNew = m_era > 0 && now - m_eraSince < m_timing.lapseGrace;
     const bool isOlderCopy = isEraNew && !isWrittenAgain && isFromOlderCopy(record);
     return isRepeated || isOlderCopy ? m_timing.lapseGrace : Duration::zero();
@@ -157,6 +160,9 @@
         markMissing(record.name, now);
     } else if (const Duration grace = holdTime(record, now); grace > Duration::zero()) {
         hold(record, grace, now);
+        if (isSameStart) {
+            markStanding(record.name, now);
+        }
     } else {
         m_held.erase(record.name);
         accept(record, true, now);
@@ -205,6 +211,17 @@
     m_conflictingEntries += isNew && ownerOf(key) != &start ? 1 : 0;
 }
 
+/// Records that an entry of the start that a name stands for is in the store, although it does not count yet.
+void TargetDirectory::markStanding(const std::string &name, TimePoint now)
+{
+    NamedStart &start = m_starts.at(name);
+    const KnownTarget *const target = find(start.record.identity.key());
+    if (target != nullptr && target->presence == TargetPresence::Lapsed) {
+        start.isStanding = true;
+        refreshTarget(target->key, TargetEnd::EntryMissing, now);
+    }
+}
+
 /// Records that the entry of the start that a name stands for is no longer in the store.
 void TargetDirectory::markMissing(const std::string &name, TimePoint now)
 {
--- a/lib/Steering/entrytable.cpp
+++ b/lib/Steering/entrytable.cpp
@@ -45,10 +45,16 @@
     return found == m_entries.end() || found->second.isRemoved ? nullptr : &found->second.record;
 }
 
+StoreRevision EntryTable::removedAt(const std::string &name) const
+{
+    const auto found = m_entries.find(name);
+    return found == m_entries.end() ? 0 : found->second.removedAt;
+}
+
 bool EntryTable::isRemoved(const TargetRecord &record) const
 {
-    const auto found = m_entries.find(record.name);
-    return found != m_entries.end() && found->second.removedAt >= record.revision;
+    const StoreRevision removedAt = this->removedAt(record.name);
+    return removedAt > 0 && removedAt >= record.revision;
 }
 
 void EntryTable::forEach(const std::function<void(const TargetRecord &)> &function) const
