--- a/include/jasminequay/Fleet/fleetcontrol.h
+++ b/include/jasminequay/Fleet/fleetcontrol.h
@@ -168,6 +168,7 @@
     };
 
     [[nodiscard]] Progress progress() const;
+    void yieldTo(const std::string &reader, TimePoint now);
     void relay(const Progress &before, FleetActions &actions, TimePoint now);
     [[nodiscard]] ReaderView readerView() const;
     [[nodiscard]] DirectoryStatus directoryStatus(TimePoint now) const;
--- a/include/jasminequay/Fleet/readerplan.h
+++ b/include/jasminequay/Fleet/readerplan.h
@@ -41,7 +41,7 @@
     std::size_t fleet = 1; ///< Number of instances in all data centres.
     bool isLoaded = false;
     TimePoint currentAt; ///< The time as of which its routes and targets are known to be complete.
-    TimePoint otherReaderAt; ///< When a message from another reader of its data centre last arrived.
+    TimePoint otherReaderAt; ///< When a preferred reader of its data centre was last heard of.
 };
 
 /// Decides when to read. Every instance computes the same reader order from its member table, so that no
--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -75,6 +75,12 @@
     /// Records that the store was reached at a time.
     void observe(TimePoint at);
 
+    /// Returns when the store was last reached. Unlike a proof that all changes are known, any answer counts.
+    [[nodiscard]] TimePoint observedAt() const
+    {
+        return m_observedAt;
+    }
+
     /// Marks lapsed targets as ended after the grace period, applies held entries that have stood for long
     /// enough, and erases targets whose tombstone lifetime is over. Time counts only while the store is
     /// observed: `provedAt` is the latest time up to which all changes are known, by default now. `forget` is
--- a/lib/Fleet/fleetcontrol.cpp
+++ b/lib/Fleet/fleetcontrol.cpp
@@ -318,6 +318,19 @@
     }
 }
 
+/// Stops reading if another instance that reads for the data centre is preferred. One that is not preferred
+/// stops as soon as it hears of this one: if each counted on the other, nobody would read.
+void FleetControl::yieldTo(const std::string &reader, TimePoint now)
+{
+    const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
+    const bool isPreferred
+        = std::find(order.begin(), order.end(), reader) < std::find(order.begin(), order.end(), m_name);
+    if (isPreferred) {
+        m_otherReaderAt = now;
+        m_plan.stopReading();
+    }
+}
+
 FleetActions FleetControl::onMessage(const FleetMessage &message, TimePoint now)
 {
     if (message.sender == m_name || message.digest.entries.empty()
@@ -326,15 +339,8 @@
     }
     FleetActions actions = toActions(m_members.onDigest(message.sender, message.digest, now), now);
     const DigestEntry &sender = message.digest.entries.front();
-    const bool isLocalReader = message.status.isReading && isLocalDataCentre(sender.dataCentre);
-    if (isLocalReader) {
-        m_otherReaderAt = now;
-        const std::vector<std::string> &order = readerOrder(m_settings.dataCentre);
-        const bool isPreferred = std::find(order.begin(), order.end(), message.sender)
-            < std::find(order.begin(), order.end(), m_name);
-        if (isPreferred) {
-            m_plan.stopReading();
-        }
+    if (message.status.isReading && isLocalDataCentre(sender.dataCentre)) {
+        yieldTo(message.sender, now);
     }
     for (const TargetLossReport &loss : message.targetLosses) {
         KnownTarget *const target = m_engine.targets().find(loss.targetKey);
--- a/lib/Steering/steeringload.cpp
+++ b/lib/Steering/steeringload.cpp
@@ -224,7 +224,8 @@
 {
     std::vector<std::string> evacuated = m_targets.evacuations().evacuatedDataCentres();
     const auto own = std::find(evacuated.begin(), evacuated.end(), m_settings.dataCentre);
-    if (own == evacuated.end() || isCurrent(now)) {
+    const bool hearsFromStore = now - m_targets.observedAt() <= m_settings.refusalAge;
+    if (own == evacuated.end() || hearsFromStore) {
         return evacuated;
     }
     bool isCutOff = false;
--- a/unittests/Fleet/fakepopulation.cpp
+++ b/unittests/Fleet/fakepopulation.cpp
@@ -19,7 +19,7 @@
 constexpr unsigned LostPercent = 12;
 
 /// Times of day differ by this much between machines.
-constexpr int ClockSkewMilliseconds = 3000;
+constexpr std::int64_t ClockSkewMilliseconds = 3000;
 
 /// A clock is set back by this much.
 constexpr std::int64_t ClockStepMilliseconds = 20000;
@@ -96,7 +96,8 @@
     target.record.identity.id = ++m_nextId;
     target.record.name = "i-" + std::to_string(m_nextId);
     target.record.service = m_random() % 2 == 0 ? "desk" : "guides";
-    const auto skew = static_cast<std::int64_t>(m_random() % (2 * ClockSkewMilliseconds));
+    const auto skew
+        = static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(2 * ClockSkewMilliseconds));
     target.record.identity.startedAt = timeOfDay() + skew - ClockSkewMilliseconds;
     target.record.isDraining = false;
     target.nextHeartbeatAt = m_cluster.now;
--- a/unittests/Fleet/lostreadertest.cpp
+++ b/unittests/Fleet/lostreadertest.cpp
@@ -114,4 +114,35 @@
     }
 }
 
+/// Returns the longest time in which no instance but the excepted one had a read under way.
+static Duration longestWithoutReads(FakeCluster &cluster, std::size_t excepted, Duration duration)
+{
+    Duration longest{};
+    TimePoint readAt = cluster.now;
+    for (const TimePoint end = cluster.now + duration; cluster.now < end;) {
+        cluster.run(milliseconds(5));
+        for (std::size_t number = 0; number < cluster.members.size(); ++number) {
+            readAt = number != excepted && cluster.members[number].read ? cluster.now : readAt;
+        }
+        longest = std::max<Duration>(longest, cluster.now - readAt);
+    }
+    return longest;
+}
+
+/// Guards against instances that have taken over the reads at the same time and then wait for each other: the
+/// preferred one took the other one, which had stopped, for a reader (docs/incidents/17.md).
+TEST(ReaderTakeover, NobodyWaitsForAReaderThatHasStopped)
+{
+    const Duration takeover = readerTiming(Bound).takeover;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        FakeCluster cluster({12, 1, 18, Bound, seed});
+        cluster.run(seconds(6));
+        const std::size_t reader = cluster.readers().front();
+        cluster.cutStore(reader);
+        cluster.run(milliseconds(1300));
+        cluster.store.changeRoutes();
+        EXPECT_LT(longestWithoutReads(cluster, reader, seconds(3)), takeover) << seed;
+    }
+}
+
 } // namespace jasminequay::fleet
--- a/unittests/Steering/evacuationtest.cpp
+++ b/unittests/Steering/evacuationtest.cpp
@@ -155,6 +155,20 @@
     EXPECT_EQ(dataCentreOf(instance.take(openingOf(4), milliseconds(190))), "dc-1");
 }
 
+/// Guards against an evacuation that is ignored while the store answers: changes in quick succession prove
+/// the state at the begin of each wait only, so the proof may be older than what counts as current, and an
+/// opening on its way to another data centre looked like silence (docs/incidents/17.md, soak drills seed 1).
+TEST_F(Evacuation, HoldsWhileTheStoreAnswersWithChanges)
+{
+    evacuate("dc-1");
+    instance.now += seconds(3);
+    instance.engine.markCurrentAt(instance.now - milliseconds(1400));
+    instance.engine.targets().observe(instance.now);
+    for (std::uint32_t caller = 1; caller < 10; ++caller) {
+        EXPECT_EQ(dataCentreOf(instance.take(openingOf(caller), milliseconds(20))), "dc-2") << caller;
+    }
+}
+
 TEST_F(Evacuation, OpeningsAreRefusedIfTheOtherTargetsDrain)
 {
     evacuate("dc-1");
