--- a/unittests/Steering/latewritetest.cpp
+++ b/unittests/Steering/latewritetest.cpp
@@ -12,26 +12,43 @@
 /// How long an entry that contradicts a target must stand before it counts.
 constexpr Duration RivalGrace = DirectoryTiming().rivalGrace;
 
-/// Advances the time of an instance in steps, at each of which the store has been read; returns the resets.
-static std::vector<PendingReset> runWhileRead(SteeredInstance &instance, Duration duration)
+/// An instance that reads the store.
+class ReadingInstance : public testing::Test
 {
-    constexpr Duration Step = milliseconds(500);
-    std::vector<PendingReset> resets;
-    for (const TimePoint end = instance.now + duration; instance.now < end;) {
-        instance.now = std::min(instance.now + Step, end);
-        instance.engine.markCurrentAt(instance.now);
-        const std::vector<PendingReset> further = instance.engine.sweep(instance.now, 100);
-        resets.insert(resets.end(), further.begin(), further.end());
+protected:
+    explicit ReadingInstance(std::uint32_t targets)
+        : instance(targets)
+    {
+    }
+
+    void put(const TargetRecord &record)
+    {
+        instance.engine.targets().put(record, instance.now);
+    }
+
+    /// Advances the time in steps, at each of which the store has been read; returns the resets.
+    std::vector<PendingReset> run(Duration duration)
+    {
+        constexpr Duration Step = milliseconds(500);
+        std::vector<PendingReset> resets;
+        for (const TimePoint end = instance.now + duration; instance.now < end;) {
+            instance.now = std::min(instance.now + Step, end);
+            instance.engine.markCurrentAt(instance.now);
+            const std::vector<PendingReset> further = instance.engine.sweep(instance.now, 100);
+            resets.insert(resets.end(), further.begin(), further.end());
+        }
+        return resets;
     }
-    return resets;
-}
+
+    SteeredInstance instance;
+};
 
 /// An instance with a target that has started again under its id, and an open flow at the running start.
-class LateWriteOfAnEarlierStart : public testing::Test
+class LateWriteOfAnEarlierStart : public ReadingInstance
 {
 protected:
     LateWriteOfAnEarlierStart()
-        : instance(1)
+        : ReadingInstance(1)
     {
         put(running(5));
         placed = instance.open(1);
@@ -46,17 +63,6 @@
         return targetOf(0, revision, 700);
     }
 
-    void put(const TargetRecord &record)
-    {
-        instance.engine.targets().put(record, instance.now);
-    }
-
-    /// Advances the time while the store is read; returns the resets.
-    std::vector<PendingReset> run(Duration duration)
-    {
-        return runWhileRead(instance, duration);
-    }
-
     TargetPresence presenceOf(const TargetRecord &record)
     {
         return instance.engine.targets().find(record.identity.key())->presence;
@@ -72,7 +78,6 @@
         EXPECT_EQ(instance.engine.targets().findByToken(opening.token)->key, running(0).identity.key());
     }
 
-    SteeredInstance instance;
     SteeringDecision placed;
 };
 
@@ -166,11 +171,11 @@
 
 /// An instance with a target that has the address of one that has ended, and an open flow at it. Another
 /// service has a target of its own.
-class LateWriteOfAFormerTarget : public testing::Test
+class LateWriteOfAFormerTarget : public ReadingInstance
 {
 protected:
     LateWriteOfAFormerTarget()
-        : instance(0)
+        : ReadingInstance(0)
     {
         put(successor(5));
         placed = instance.open(1);
@@ -187,17 +192,6 @@
         return targetOf(0, revision, 700);
     }
 
-    void put(const TargetRecord &record)
-    {
-        instance.engine.targets().put(record, instance.now);
-    }
-
-    /// Advances the time while the store is read; returns the number of resets.
-    std::size_t run(Duration duration)
-    {
-        return runWhileRead(instance, duration).size();
-    }
-
     /// Expects that the successor keeps its flow, and whether it gets new ones.
     void expectServing(std::uint32_t newCaller, bool getsNewFlows = true)
     {
@@ -207,7 +201,6 @@
         EXPECT_EQ(opening.targetId == successor(0).identity.id, getsNewFlows);
     }
 
-    SteeredInstance instance;
     SteeringDecision placed;
 };
 
@@ -216,10 +209,10 @@
 TEST_F(LateWriteOfAFormerTarget, DoesNotEndTheOneThatHasTheAddress)
 {
     put(former(9));
-    EXPECT_EQ(run(seconds(3)), 0U);
+    EXPECT_TRUE(run(seconds(3)).empty());
     expectServing(10);
     instance.engine.targets().remove("i-1", 10, instance.now);
-    EXPECT_EQ(run(seconds(20)), 0U);
+    EXPECT_TRUE(run(seconds(20)).empty());
     expectServing(20);
     EXPECT_EQ(instance.target(1).presence, TargetPresence::Gone);
 }
@@ -246,10 +239,10 @@
 TEST_F(LateWriteOfAFormerTarget, WithALaterTimeTakesNewFlowsForAWhileOnly)
 {
     put(former(9, 900));
-    EXPECT_EQ(run(seconds(3)), 0U);
+    EXPECT_TRUE(run(seconds(3)).empty());
     expectServing(10, false);
     instance.engine.targets().remove("i-1", 10, instance.now);
-    EXPECT_EQ(run(milliseconds(500)), 0U);
+    EXPECT_TRUE(run(milliseconds(500)).empty());
     expectServing(20);
 }
 
