Remove a function that only tests still called

Cause: since peers pass on entries, nothing in the product asks for the held records after a revision; two assertions did. Change: TargetDirectory::heldRecordsAfter() goes, and the assertions use heldCount(). They are as strict: the function was asked for all records, and its size is that number. No decision changes.

--- a/include/jasminequay/Steering/targetdirectory.h
+++ b/include/jasminequay/Steering/targetdirectory.h
@@ -141,10 +141,6 @@
         m_entries.markRemovalsUnknownUpTo(revision);
     }
 
-    /// Returns the records after a revision that are held back: they contradict what is known of their
-    /// targets, and take effect only if they are not replaced in time.
-    [[nodiscard]] std::vector<TargetRecord> heldRecordsAfter(StoreRevision revision) const;
-
     /// Returns the number of entries that do not count yet because they contradict what is known.
     [[nodiscard]] std::size_t heldCount() const
     {
--- a/lib/Steering/directorystarts.cpp
+++ b/lib/Steering/directorystarts.cpp
@@ -328,15 +328,4 @@
     }
 }
 
-std::vector<TargetRecord> TargetDirectory::heldRecordsAfter(StoreRevision revision) const
-{
-    std::vector<TargetRecord> records;
-    for (const auto &[name, held] : m_held) {
-        if (held.record.revision > revision) {
-            records.push_back(held.record);
-        }
-    }
-    return records;
-}
-
 } // namespace jasminequay
--- a/unittests/Steering/erastest.cpp
+++ b/unittests/Steering/erastest.cpp
@@ -154,14 +154,14 @@
     draining.isDraining = true;
     directory.put(draining, now);
     restore({copyOf(1), copyOf(2)});
-    EXPECT_EQ(directory.heldRecordsAfter(0).size(), 1U);
+    EXPECT_EQ(directory.heldCount(), 1U);
     run(seconds(1));
     directory.replaceAll(
         {targetOf(1, storeRevision(2, 3)), targetOf(2, storeRevision(2, 3))}, storeRevision(2, 8), now);
     run(seconds(2));
     EXPECT_TRUE(target(1).record.isDraining);
     directory.remove("i-1", storeRevision(2, 9), now);
-    EXPECT_TRUE(directory.heldRecordsAfter(0).empty());
+    EXPECT_EQ(directory.heldCount(), 0U);
     run(Grace);
     EXPECT_EQ(target(1).presence, TargetPresence::Gone);
 }
