Review: a case ends its processes by ids that are still theirs

Cause: an id file could outlive its process while the instance restarts. Change: the file goes with the process; all are ended once more at the end.

--- a/review/standin-3/play.sh
+++ b/review/standin-3/play.sh
@@ -25,15 +25,23 @@
                 >>"$work/$1.log" 2>&1 &
             echo $! >"$work/$1.pid"
             wait $!
+            rm -f "$work/$1.pid"
             sed -i "/^first-start/d" "$work/$1.yaml"
             sleep 0.3
         done
     }
+    kill_instances() {
+        for number in 1 2 3; do
+            [ -e "$work/$number.pid" ] && kill -KILL "$(cat "$work/$number.pid")" 2>/dev/null
+            rm -f "$work/$number.pid"
+        done
+    }
     stop_all() {
         touch "$work/stop"
-        for number in 1 2 3; do kill -KILL "$(cat "$work/$number.pid")" 2>/dev/null; done
+        kill_instances
         sleep 0.5
         for number in "${keepers[@]}"; do kill -KILL "$number" 2>/dev/null; done
+        kill_instances # one may have been started in between
         rm -rf "$work"
     }
     trap stop_all EXIT
