Review: the scripts read TROUBLE, and the record names each request

Cause: run.sh left TROUBLE and the path of the record to the shared script, and the record held only events and sums.

--- a/review/standin-3/play.sh
+++ b/review/standin-3/play.sh
@@ -2,9 +2,9 @@
 # Sourced by the run.sh of a case: plays a scenario of the rig against three instances of one zone, started with
 # the command of the deploy file. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 #
-# play MODE CASE_FOLDER
+# play MODE CASE_FOLDER TROUBLE RECORD    without the disruption if TROUBLE is 0
 play() {
-    local mode=$1 folder=$2
+    local mode=$1 folder=$2 trouble=$3 record=$4
     local root
     root=$(cd "$folder/../.." && pwd)
     local work base keepers=() number status net=1
@@ -78,7 +78,7 @@
         keepers+=($!)
         disown $!
     done
-    target/review-3/rig "$mode" "${TROUBLE:-1}" "$base" 3 "$folder/record.txt" "$work"
+    target/review-3/rig "$mode" "$trouble" "$base" 3 "$record" "$work"
     status=$?
     [ -n "${KEEP_LOGS:-}" ] && cp "$work"/*.log "$KEEP_LOGS"/
     exit "$status"
--- a/review/standin-3/rig.cpp
+++ b/review/standin-3/rig.cpp
@@ -773,6 +773,7 @@
         flow.received += static_cast<std::uint32_t>(packet.data.size());
         flow.request = get(packet.data, 0, 8);
         runs[flow.request].push_back(endpoint.name);
+        note("run: request %llu at %s", static_cast<unsigned long long>(flow.request), endpoint.name.c_str());
         const std::uint64_t request = flow.request;
         const unsigned incarnation = endpoint.incarnation;
         after(WorkMs,
@@ -916,6 +917,8 @@
         return;
     }
     client.request = ++lastRequest;
+    note("sent: request %llu by client %s port %u", static_cast<unsigned long long>(client.request),
+        textOf(client.ip).c_str(), client.port);
     ++sentRequests;
     client.unacknowledged = Bytes(900, 'q');
     put(client.unacknowledged, 0, client.request, 8);
@@ -1034,6 +1037,7 @@
     if (!packet.data.empty() && packet.seq == client.ack && client.request != 0
         && get(packet.data, 0, 8) == client.request) {
         ++answeredRequests;
+        note("answered: request %llu", static_cast<unsigned long long>(client.request));
         client.request = 0;
         client.seq += static_cast<std::uint32_t>(client.unacknowledged.size());
         client.ack += static_cast<std::uint32_t>(packet.data.size());
